--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -44,8 +44,8 @@
 };
 
 export default tseslint.config(
-  {ignores: ['build/', '**/node_modules/', '**/__snapshots__/']},
+  {ignores: ['build/', 'target/', '**/node_modules/', '**/__snapshots__/']},
   ...tseslint.configs.recommended,
   prettier,
-  {files: ['packages/**/*.ts'], rules: googleStyle},
+  {files: ['packages/**/*.ts', 'platform/**/*.ts'], rules: googleStyle},
 );
--- a/packages/cli/src/commands/promote.ts
+++ b/packages/cli/src/commands/promote.ts
@@ -9,7 +9,7 @@
 } from '@pistachiorill/core';
 import {compareDocuments, formatChange} from '@pistachiorill/document';
 import type {DocumentChange} from '@pistachiorill/document';
-import {HttpVmReports, promoteDocument} from '@pistachiorill/platform';
+import {HttpVmReports, promoteDocument} from '@pistachiorill/store';
 import {AnnouncingVmReports} from '../support/announcing_vm_reports.js';
 import {describeOutcome} from '../support/describe_outcome.js';
 import {EXIT_CODES} from '../support/exit_code.js';
--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -1,6 +1,6 @@
 import type {Environment} from '@pistachiorill/core';
-import {readVmStatuses} from '@pistachiorill/platform';
-import type {GroupStatus, VmStatusAnswer} from '@pistachiorill/platform';
+import {readVmStatuses} from '@pistachiorill/store';
+import type {GroupStatus, VmStatusAnswer} from '@pistachiorill/store';
 import {EXIT_CODES} from '../support/exit_code.js';
 import type {ExitCode} from '../support/exit_code.js';
 import {formatTable} from '../support/format_table.js';
--- a/packages/cli/src/support/announcing_vm_reports.ts
+++ b/packages/cli/src/support/announcing_vm_reports.ts
@@ -1,7 +1,7 @@
 import type {Environment, VmReport} from '@pistachiorill/core';
 import {PeerClient} from '@pistachiorill/peers';
-import {VmReports} from '@pistachiorill/platform';
-import type {VmList} from '@pistachiorill/platform';
+import {VmReports} from '@pistachiorill/store';
+import type {VmList} from '@pistachiorill/store';
 
 const TIMEOUT_MS = 1_000;
 
--- a/packages/cli/src/support/last_vm_list.ts
+++ b/packages/cli/src/support/last_vm_list.ts
@@ -1,7 +1,7 @@
 import {ok} from '@pistachiorill/core';
 import type {Result} from '@pistachiorill/core';
-import {VmList} from '@pistachiorill/platform';
-import type {ListedVm, PlatformError} from '@pistachiorill/platform';
+import {VmList} from '@pistachiorill/store';
+import type {ListedVm, PlatformError} from '@pistachiorill/store';
 
 /**
  * Keeps the last list that was read, so that a version that is in force can be
--- a/packages/cli/src/support/platform.ts
+++ b/packages/cli/src/support/platform.ts
@@ -2,8 +2,8 @@
   HttpObjectStore,
   HttpTableService,
   HttpVmList,
-} from '@pistachiorill/platform';
-import type {ObjectStore, TableService, VmList} from '@pistachiorill/platform';
+} from '@pistachiorill/store';
+import type {ObjectStore, TableService, VmList} from '@pistachiorill/store';
 
 /** The platform as the operators' commands use it. */
 export interface Platform {
--- a/packages/core/src/admission/deficit_round_robin_policy.ts
+++ b/packages/core/src/admission/deficit_round_robin_policy.ts
@@ -55,6 +55,17 @@
     return undefined;
   }
 
+  /** Returns an entry that was taken and could not be served; it comes next. */
+  putBack(entry: QueueEntry<T>): void {
+    const others = [...this.active].filter(([key]) => key !== entry.workspace);
+    const queue = this.active.get(entry.workspace) ?? {entries: [], deficit: 0};
+    queue.entries.unshift(entry);
+    this.active.clear();
+    this.active.set(entry.workspace, queue);
+    for (const [workspace, other] of others) this.active.set(workspace, other);
+    this.total++;
+  }
+
   override removeExpired(now: number): ReadonlyArray<QueueEntry<T>> {
     const expired: Array<QueueEntry<T>> = [];
     for (const [workspace, queue] of this.active) {
--- a/packages/entry/src/configuration/__tests__/configuration_task.test.ts
+++ b/packages/entry/src/configuration/__tests__/configuration_task.test.ts
@@ -1,6 +1,6 @@
 import {hashOf, ok, fail} from '@pistachiorill/core';
 import type {ConfigurationVersion} from '@pistachiorill/core';
-import {ObjectStore, TableService} from '@pistachiorill/platform';
+import {ObjectStore, TableService} from '@pistachiorill/store';
 import type {Logger} from '@pistachiorill/telemetry';
 import {readFileSync} from 'node:fs';
 import {afterEach, expect, it} from 'vitest';
--- a/packages/entry/src/configuration/configuration_task.ts
+++ b/packages/entry/src/configuration/configuration_task.ts
@@ -12,7 +12,7 @@
   VersionedConfiguration,
 } from '@pistachiorill/core';
 import {formatDocumentError, parseDocument} from '@pistachiorill/document';
-import type {ObjectStore, TableService} from '@pistachiorill/platform';
+import type {ObjectStore, TableService} from '@pistachiorill/store';
 import {Task} from '@pistachiorill/tasks';
 import type {Clock} from '@pistachiorill/tasks';
 import type {Logger} from '@pistachiorill/telemetry';
--- a/packages/entry/src/daemon/create_owned_group.ts
+++ b/packages/entry/src/daemon/create_owned_group.ts
@@ -13,7 +13,7 @@
   RoutedStatement,
 } from '@pistachiorill/core';
 import type {ProcessSettings} from '@pistachiorill/document';
-import type {TableService} from '@pistachiorill/platform';
+import type {TableService} from '@pistachiorill/store';
 import type {Clock} from '@pistachiorill/tasks';
 import type {AuditEntry, Logger} from '@pistachiorill/telemetry';
 import {FailoverTask} from '../failover/failover_task.js';
--- a/packages/entry/src/daemon/entry_daemon.ts
+++ b/packages/entry/src/daemon/entry_daemon.ts
@@ -25,8 +25,8 @@
   HttpObjectStore,
   HttpTableService,
   HttpVmList,
-} from '@pistachiorill/platform';
-import type {TableService, VmStatus} from '@pistachiorill/platform';
+} from '@pistachiorill/store';
+import type {TableService, VmStatus} from '@pistachiorill/store';
 import {Pipeline, ask} from '@pistachiorill/tasks';
 import type {Clock} from '@pistachiorill/tasks';
 import {AuditTask, Metrics, createLogger} from '@pistachiorill/telemetry';
--- a/packages/entry/src/daemon/peer_part.ts
+++ b/packages/entry/src/daemon/peer_part.ts
@@ -8,8 +8,8 @@
   StatementContext,
 } from '@pistachiorill/core';
 import type {ProcessSettings} from '@pistachiorill/document';
-import {PeerServer} from '@pistachiorill/peers';
-import type {ListedVm, VmList} from '@pistachiorill/platform';
+import {PeerServer, servedPeers} from '@pistachiorill/peers';
+import type {ListedVm, VmList} from '@pistachiorill/store';
 import {ask} from '@pistachiorill/tasks';
 import type {Clock} from '@pistachiorill/tasks';
 import type {Logger} from '@pistachiorill/telemetry';
@@ -85,7 +85,9 @@
       onFault,
     });
     this.server = new PeerServer(
-      new EntryPeerHandlers(this.membership, this.owner, tools.services),
+      servedPeers(
+        new EntryPeerHandlers(this.membership, this.owner, tools.services),
+      ),
       onFault,
     );
   }
--- a/packages/entry/src/failover/__tests__/failover_task.test.ts
+++ b/packages/entry/src/failover/__tests__/failover_task.test.ts
@@ -5,7 +5,7 @@
   MemberState,
   MemberView,
 } from '@pistachiorill/core';
-import type {TableService} from '@pistachiorill/platform';
+import type {TableService} from '@pistachiorill/store';
 import type {Logger} from '@pistachiorill/telemetry';
 import {afterEach, beforeEach, expect, it, vi} from 'vitest';
 import type {GroupMessage} from '../../group/group_message.js';
--- a/packages/entry/src/failover/failover_task.ts
+++ b/packages/entry/src/failover/failover_task.ts
@@ -14,7 +14,7 @@
   Random,
 } from '@pistachiorill/core';
 import {MYSQL_ERRNO} from '@pistachiorill/mysql';
-import type {TableService} from '@pistachiorill/platform';
+import type {TableService} from '@pistachiorill/store';
 import {Task, ask} from '@pistachiorill/tasks';
 import type {Clock} from '@pistachiorill/tasks';
 import type {Logger} from '@pistachiorill/telemetry';
--- a/packages/entry/src/http/group_status.ts
+++ b/packages/entry/src/http/group_status.ts
@@ -1,6 +1,6 @@
 import {currentPrimary} from '@pistachiorill/core';
 import type {GroupView, MemberView} from '@pistachiorill/core';
-import type {GroupStatus, MemberStatus} from '@pistachiorill/platform';
+import type {GroupStatus, MemberStatus} from '@pistachiorill/store';
 
 /** What operators see of a group. */
 export function groupStatus(view: GroupView): GroupStatus {
--- a/packages/entry/src/http/status_server.ts
+++ b/packages/entry/src/http/status_server.ts
@@ -1,7 +1,7 @@
 import {createServer} from 'node:http';
 import type {Server} from 'node:http';
 import {splitAddress} from '@pistachiorill/mysql';
-import type {VmStatus} from '@pistachiorill/platform';
+import type {VmStatus} from '@pistachiorill/store';
 import type {Metrics} from '@pistachiorill/telemetry';
 
 /** Whether the platform's balancer should send callers here. */
--- a/packages/entry/src/lifecycle/__tests__/lifecycle_task.test.ts
+++ b/packages/entry/src/lifecycle/__tests__/lifecycle_task.test.ts
@@ -1,5 +1,5 @@
 import type {Configuration, ServiceState} from '@pistachiorill/core';
-import type {ListedVmState} from '@pistachiorill/platform';
+import type {ListedVmState} from '@pistachiorill/store';
 import {expect, it} from 'vitest';
 import {LifecycleTask} from '../lifecycle_task.js';
 
--- a/packages/entry/src/lifecycle/lifecycle_task.ts
+++ b/packages/entry/src/lifecycle/lifecycle_task.ts
@@ -1,6 +1,6 @@
 import {drainReasons} from '@pistachiorill/core';
 import type {Configuration, DrainInput, DrainReason} from '@pistachiorill/core';
-import type {ListedVm} from '@pistachiorill/platform';
+import type {ListedVm} from '@pistachiorill/store';
 import {Task} from '@pistachiorill/tasks';
 
 export type LifecycleMessage =
--- a/packages/entry/src/measure/membership.ts
+++ b/packages/entry/src/measure/membership.ts
@@ -11,9 +11,9 @@
   workerData,
 } from 'node:worker_threads';
 import {Random, ok} from '@pistachiorill/core';
-import {PeerServer} from '@pistachiorill/peers';
-import {VmList} from '@pistachiorill/platform';
-import type {ListedVm} from '@pistachiorill/platform';
+import {PeerServer, servedPeers} from '@pistachiorill/peers';
+import {VmList} from '@pistachiorill/store';
+import type {ListedVm} from '@pistachiorill/store';
 import {OwnerTask} from '../forward/owner_task.js';
 import {NO_PAYLOADS} from '../membership/gossip_payloads.js';
 import {MembershipTask} from '../membership/membership_task.js';
@@ -73,15 +73,17 @@
       onFault,
     });
     this.server = new PeerServer(
-      new EntryPeerHandlers(this.membership, this.owner, {
-        configuration: async () => ({kind: 'missing'}),
-        announce: () => undefined,
-        ledger: async () => ({kind: 'missing'}),
-        loan: async () => {
-          throw new Error('no loans');
-        },
-        report: () => undefined,
-      }),
+      servedPeers(
+        new EntryPeerHandlers(this.membership, this.owner, {
+          configuration: async () => ({kind: 'missing'}),
+          announce: () => undefined,
+          ledger: async () => ({kind: 'missing'}),
+          loan: async () => {
+            throw new Error('no loans');
+          },
+          report: () => undefined,
+        }),
+      ),
       onFault,
     );
     setInterval(() => this.readStore(), STORE_POLL_MS);
--- a/packages/entry/src/membership/__tests__/membership_task.test.ts
+++ b/packages/entry/src/membership/__tests__/membership_task.test.ts
@@ -1,9 +1,9 @@
 import {createServer} from 'node:net';
 import {Random, fail} from '@pistachiorill/core';
 import type {PeerRecord, Versions} from '@pistachiorill/core';
-import {PeerServer} from '@pistachiorill/peers';
+import {PeerServer, servedPeers} from '@pistachiorill/peers';
 import type {Gossip, StatusAnswer} from '@pistachiorill/peers';
-import {VmList} from '@pistachiorill/platform';
+import {VmList} from '@pistachiorill/store';
 import {ask} from '@pistachiorill/tasks';
 import {afterEach, describe, expect, it, vi} from 'vitest';
 import {OwnerTask} from '../../forward/owner_task.js';
@@ -85,15 +85,17 @@
       onFault: () => undefined,
     });
     const server = new PeerServer(
-      new EntryPeerHandlers(task, owner, {
-        configuration: async () => ({kind: 'missing'}),
-        announce: () => undefined,
-        ledger: async () => ({kind: 'missing'}),
-        loan: async () => {
-          throw new Error('no loans');
-        },
-        report: () => undefined,
-      }),
+      servedPeers(
+        new EntryPeerHandlers(task, owner, {
+          configuration: async () => ({kind: 'missing'}),
+          announce: () => undefined,
+          ledger: async () => ({kind: 'missing'}),
+          loan: async () => {
+            throw new Error('no loans');
+          },
+          report: () => undefined,
+        }),
+      ),
       () => undefined,
     );
     await server.listen(address);
--- a/packages/entry/src/membership/membership_message.ts
+++ b/packages/entry/src/membership/membership_message.ts
@@ -8,7 +8,7 @@
   ProbeIndirectAnswer,
   StatusAnswer,
 } from '@pistachiorill/peers';
-import type {ListedVm} from '@pistachiorill/platform';
+import type {ListedVm} from '@pistachiorill/store';
 import type {Reply} from '@pistachiorill/tasks';
 
 /** Messages to the task that owns the view of the fleet. */
--- a/packages/entry/src/membership/membership_task.ts
+++ b/packages/entry/src/membership/membership_task.ts
@@ -24,7 +24,7 @@
   ProbeIndirectAnswer,
   StatusAnswer,
 } from '@pistachiorill/peers';
-import type {ListedVm} from '@pistachiorill/platform';
+import type {ListedVm} from '@pistachiorill/store';
 import {Task} from '@pistachiorill/tasks';
 import type {Reply} from '@pistachiorill/tasks';
 import {PeerClients} from '../peers/peer_clients.js';
--- a/packages/entry/src/membership/membership_tools.ts
+++ b/packages/entry/src/membership/membership_tools.ts
@@ -1,5 +1,5 @@
 import type {PeerRecord, Random} from '@pistachiorill/core';
-import type {ListedVm, VmList} from '@pistachiorill/platform';
+import type {ListedVm, VmList} from '@pistachiorill/store';
 import type {Clock} from '@pistachiorill/tasks';
 import type {GossipPayloads} from './gossip_payloads.js';
 import type {MembershipView} from './membership_view.js';
--- a/packages/entry/src/quota/__tests__/ledger_task.test.ts
+++ b/packages/entry/src/quota/__tests__/ledger_task.test.ts
@@ -1,6 +1,6 @@
 import {Random, fail, ok, parseLedger} from '@pistachiorill/core';
-import {TableService} from '@pistachiorill/platform';
-import type {Row} from '@pistachiorill/platform';
+import {TableService} from '@pistachiorill/store';
+import type {Row} from '@pistachiorill/store';
 import {ask} from '@pistachiorill/tasks';
 import type {Logger} from '@pistachiorill/telemetry';
 import {afterEach, expect, it} from 'vitest';
--- a/packages/entry/src/quota/ledger_peers.ts
+++ b/packages/entry/src/quota/ledger_peers.ts
@@ -1,4 +1,4 @@
-import type {Row} from '@pistachiorill/platform';
+import type {Row} from '@pistachiorill/store';
 
 /** Asks other VMs for the ledger's row while the platform is down. */
 export abstract class LedgerPeers {
--- a/packages/entry/src/quota/ledger_task.ts
+++ b/packages/entry/src/quota/ledger_task.ts
@@ -19,7 +19,7 @@
   Random,
   ReclaimProgress,
 } from '@pistachiorill/core';
-import type {Row, TableService} from '@pistachiorill/platform';
+import type {Row, TableService} from '@pistachiorill/store';
 import {Task, ask} from '@pistachiorill/tasks';
 import type {Clock, Reply} from '@pistachiorill/tasks';
 import type {Logger} from '@pistachiorill/telemetry';
--- a/packages/entry/src/quota/member_ledger_peers.ts
+++ b/packages/entry/src/quota/member_ledger_peers.ts
@@ -1,5 +1,5 @@
 import type {Random} from '@pistachiorill/core';
-import type {Row} from '@pistachiorill/platform';
+import type {Row} from '@pistachiorill/store';
 import type {MembershipView} from '../membership/membership_view.js';
 import {PeerClients} from '../peers/peer_clients.js';
 import {LedgerPeers} from './ledger_peers.js';
--- a/packages/entry/src/quota/quota_part.ts
+++ b/packages/entry/src/quota/quota_part.ts
@@ -8,7 +8,7 @@
   PeerRecord,
 } from '@pistachiorill/core';
 import type {LedgerAnswer, LedgerRequest} from '@pistachiorill/peers';
-import type {Row, TableService} from '@pistachiorill/platform';
+import type {Row, TableService} from '@pistachiorill/store';
 import {ask} from '@pistachiorill/tasks';
 import type {Clock} from '@pistachiorill/tasks';
 import type {Logger} from '@pistachiorill/telemetry';
--- /dev/null
+++ b/packages/gateway/src/daemon/gateway_daemon.ts
@@ -0,0 +1,444 @@
+import {randomUUID} from 'node:crypto';
+import type {Server} from 'node:http';
+import {Random} from '@pistachiorill/core';
+import type {VersionedLeadership} from '@pistachiorill/core';
+import {PeerServer} from '@pistachiorill/peers';
+import type {
+  RowTransaction,
+  StoreWriteError,
+  TransactionAnswer,
+  TransactionalStore,
+} from '@pistachiorill/store';
+import type {Result} from '@pistachiorill/core';
+import {Pipeline, ask} from '@pistachiorill/tasks';
+import type {Logger} from '@pistachiorill/telemetry';
+import {SuspensionClock, SystemClocks} from '../clock/suspension_clock.js';
+import {DatabaseTask} from '../database/database_task.js';
+import {FleetTask} from '../fleet/fleet_task.js';
+import {isProven, rightOf, shareOf} from '../fleet/fleet_view.js';
+import type {FleetView} from '../fleet/fleet_view.js';
+import {ShareKeeper} from '../fleet/share_keeper.js';
+import {LeadershipTask} from '../leadership/leadership_task.js';
+import {ConfigurationTask} from '../operators/configuration_task.js';
+import {DirectoryTask} from '../operators/directory_task.js';
+import {GATEWAY_ROUTER} from '../peers/gateway_router.js';
+import {PeerSet} from '../peers/peer_set.js';
+import type {CallerLink, CallerServer} from '../ports/caller_link.js';
+import type {
+  ConfigurationSource,
+  OperatorState,
+} from '../ports/configuration_source.js';
+import type {ListedMember, MemberDirectory} from '../ports/member_directory.js';
+import type {MemberLinks} from '../ports/member_link.js';
+import type {PrimaryOrders} from '../ports/primary_orders.js';
+import type {
+  Readiness,
+  ReadinessEndpoint,
+} from '../ports/readiness_endpoint.js';
+import {QuotaTask} from '../quota/quota_task.js';
+import {AdmitFilter} from '../session/admit_filter.js';
+import {PlaceFilter} from '../session/place_filter.js';
+import {RouteFilter} from '../session/route_filter.js';
+import {SessionTask} from '../session/session_task.js';
+import type {SessionTools} from '../session/session_task.js';
+import {GatewayMetrics} from '../telemetry/gateway_metrics.js';
+import {DaemonPeerHandlers} from './daemon_peer_handlers.js';
+import type {GatewaySettings} from './gateway_settings.js';
+import {serveMetrics} from './http_endpoints.js';
+
+/** How long the balancer takes to send connections elsewhere. */
+const ROTATION_MS = 2_300;
+/** What is left of the grace period when the process ends. */
+const EXIT_RESERVE_MS = 700;
+const IDLE_CHECK_MS = 50;
+const LEAVE_TIMEOUT_MS = 400;
+
+/** What the gateway needs of the platform on which it runs. */
+export interface GatewayPorts {
+  readonly callers: CallerServer;
+  readonly links: MemberLinks;
+  readonly source: ConfigurationSource;
+  readonly directory: MemberDirectory;
+  readonly orders: PrimaryOrders;
+  readonly store: TransactionalStore;
+  readonly readiness: ReadinessEndpoint;
+}
+
+/** Creates the ports with the daemon's clock. */
+export type OpenPorts = (tools: {
+  readonly clock: () => number;
+  readonly log: Logger;
+}) => GatewayPorts;
+
+/** Wires the tasks of one VM. */
+export class GatewayDaemon {
+  private readonly clock: () => number;
+  private readonly metrics = new GatewayMetrics();
+  private readonly random = new Random(Date.now() | 0);
+  private readonly peers = new PeerSet(this.random);
+  private readonly databases = new Map<string, DatabaseTask>();
+  private readonly sessions = new Set<SessionTask>();
+  private readonly ports: GatewayPorts;
+  private readonly fleet: FleetTask;
+  private readonly quota: QuotaTask;
+  private readonly leadership: LeadershipTask;
+  private readonly keeper: ShareKeeper;
+  private readonly configuration: ConfigurationTask;
+  private readonly directory: DirectoryTask;
+  private readonly peerServer: PeerServer;
+  private readonly sessionTools: SessionTools;
+  private metricsServer: Server | undefined;
+  private view: FleetView | undefined;
+  private operators: OperatorState | undefined;
+  private members: readonly ListedMember[] | undefined;
+  private lifecycle: 'serving' | 'stopping' = 'serving';
+
+  constructor(
+    private readonly settings: GatewaySettings,
+    openPorts: OpenPorts,
+    private readonly log: Logger,
+  ) {
+    const suspension = new SuspensionClock(new SystemClocks(), skippedMs => {
+      log.warn({event: 'clock.skipped', skippedMs}, 'the machine stood still');
+      // Not while the clock is read.
+      setImmediate(() => this.fleet.tell({kind: 'clock-skipped', skippedMs}));
+    });
+    this.clock = () => suspension.now();
+    const {clock, peers} = this;
+    this.ports = openPorts({clock, log});
+    const onFailed = (err: unknown): void => {
+      log.error({event: 'task.failed', err}, 'task failed');
+    };
+    const onStoreFailure = (call: string): void => {
+      this.metrics.storeFailed(call);
+    };
+    const {name: vm, data_centre: dataCentre} = settings.vm;
+    this.fleet = new FleetTask({
+      vm,
+      entry: {
+        peers: settings.listen.peers,
+        dataCentre,
+        incarnation: randomUUID(),
+      },
+      store: this.ports.store,
+      peers,
+      clock,
+      onView: view => this.viewChanged(view),
+      onStoreFailure,
+      log,
+      onFailed,
+    });
+    this.quota = new QuotaTask({
+      clock,
+      sharePpm: () => (this.view ? shareOf(this.view, vm, clock()) : 0),
+      peers,
+      log,
+      onFailed,
+    });
+    const transact = (
+      transaction: RowTransaction,
+    ): Promise<Result<TransactionAnswer, StoreWriteError>> =>
+      ask(reply => this.fleet.tell({kind: 'transact', transaction, reply}));
+    this.leadership = new LeadershipTask({
+      vm,
+      view: () => this.knownView(),
+      groups: () => [...this.databases.keys()],
+      database: group => this.databases.get(group),
+      members: group => this.membersOf(group),
+      isEligible: member =>
+        member.state === 'ready' &&
+        this.operators?.dataCentresOut.has(member.dataCentre) !== true,
+      isNear: member => member.dataCentre === dataCentre,
+      synchronousReplicas: group =>
+        this.operators?.configuration?.groups.get(group)?.synchronousReplicas ??
+        0,
+      directory: () => (this.members ? 'known' : 'unknown'),
+      transact,
+      peers,
+      orders: this.ports.orders,
+      clock,
+      log,
+      onMoved: outcome => this.metrics.primaryChanged(outcome),
+      onFailed,
+    });
+    this.keeper = new ShareKeeper({
+      vm,
+      view: () => this.knownView(),
+      transact,
+      peers,
+      clock,
+      log,
+      onFailed,
+    });
+    this.configuration = new ConfigurationTask({
+      source: this.ports.source,
+      peers,
+      onApplied: state => this.apply(state),
+      onStoreFailure,
+      log,
+      onFailed,
+    });
+    this.directory = new DirectoryTask({
+      directory: this.ports.directory,
+      peers,
+      clock,
+      onMembers: members => this.membersChanged(members),
+      onStoreFailure,
+      log,
+      onFailed,
+    });
+    this.peerServer = new PeerServer(
+      {
+        router: GATEWAY_ROUTER,
+        context: {
+          handlers: new DaemonPeerHandlers({
+            database: group => this.databases.get(group),
+            fleet: this.fleet,
+            leadership: this.leadership,
+            quota: this.quota,
+            operators: () => this.operators,
+            members: () => this.members ?? [],
+          }),
+        },
+      },
+      onFailed,
+    );
+    this.sessionTools = {
+      admit: Pipeline.of(new RouteFilter(), clock).then(
+        new AdmitFilter(this.quota),
+      ),
+      place: Pipeline.of(
+        new PlaceFilter({
+          database: group => this.databases.get(group),
+          clock,
+          log,
+        }),
+        clock,
+      ),
+      database: group => this.databases.get(group),
+      configuration: () => this.operators?.configuration,
+      refund: workspace => this.quota.tell({kind: 'refund', workspace}),
+      clock,
+      log,
+      metrics: this.metrics,
+    };
+  }
+
+  async start(): Promise<void> {
+    const {listen} = this.settings;
+    this.ports.readiness.listen(listen.readiness, () => this.readiness());
+    await this.peerServer.listen(listen.peers);
+    await this.ports.callers.listen(listen.callers, link => this.accept(link));
+    this.metricsServer = serveMetrics(listen.metrics, this.metrics.registry);
+    this.fleet.tell({kind: 'start'});
+    this.configuration.tell({kind: 'start'});
+    this.directory.tell({kind: 'list'});
+    this.leadership.tell({kind: 'review'});
+    this.keeper.tell({kind: 'keep'});
+    this.log.info({event: 'gateway.started', listen}, 'gateway started');
+  }
+
+  /** Stops gracefully: work that runs finishes within the grace period. */
+  async stop(): Promise<void> {
+    if (this.lifecycle === 'stopping') return;
+    this.lifecycle = 'stopping';
+    const startedAt = this.clock();
+    const graceMs = this.settings.limits.grace_ms;
+    this.log.info({event: 'gateway.draining', graceMs}, 'gateway drains');
+    await this.until(startedAt + Math.min(ROTATION_MS, graceMs / 2));
+    for (const session of this.sessions) session.tell({kind: 'drain'});
+    this.ports.callers.close();
+    await this.untilNoSessions(startedAt + graceMs / 2);
+    for (const session of this.sessions) {
+      session.tell({kind: 'abort-transaction'});
+    }
+    await this.untilNoSessions(startedAt + graceMs - EXIT_RESERVE_MS);
+    await this.leave();
+    this.close();
+    this.log.info(
+      {event: 'gateway.stopped', sessions: this.sessions.size},
+      'gateway stopped',
+    );
+  }
+
+  /** Reports that the settings file changed. */
+  reloaded(outcome: 'applied' | 'unchanged' | 'invalid'): void {
+    this.log.info({event: 'gateway.reloaded', outcome}, 'settings read again');
+  }
+
+  private async leave(): Promise<void> {
+    // No right to use a primary may remain when the row is gone.
+    for (const database of this.databases.values()) {
+      database.tell({kind: 'close'});
+    }
+    const left = ask<void>(reply => this.fleet.tell({kind: 'leave', reply}));
+    await Promise.race([left, sleep(LEAVE_TIMEOUT_MS)]);
+  }
+
+  private close(): void {
+    this.leadership.tell({kind: 'stop'});
+    this.keeper.tell({kind: 'stop'});
+    this.configuration.tell({kind: 'stop'});
+    this.directory.tell({kind: 'stop'});
+    this.peerServer.close();
+    this.peers.close();
+    this.ports.readiness.close();
+    this.metricsServer?.close();
+  }
+
+  private async until(time: number): Promise<void> {
+    await sleep(Math.max(0, time - this.clock()));
+  }
+
+  private async untilNoSessions(time: number): Promise<void> {
+    while (this.sessions.size > 0 && this.clock() < time) {
+      await sleep(IDLE_CHECK_MS);
+    }
+  }
+
+  private accept(link: CallerLink) {
+    const session: SessionTask = new SessionTask(
+      link,
+      this.sessionTools,
+      () => {
+        this.sessions.delete(session);
+      },
+    );
+    this.sessions.add(session);
+    return (
+      event: Parameters<ReturnType<Parameters<CallerServer['listen']>[1]>>[0],
+    ) => session.tell({kind: 'event', event, receivedAt: this.clock()});
+  }
+
+  private readiness(): Readiness {
+    const isReady =
+      this.lifecycle === 'serving' &&
+      this.operators?.configuration !== undefined &&
+      this.members !== undefined &&
+      this.view !== undefined &&
+      isProven(this.view, this.clock());
+    return isReady ? 'ready' : 'not-ready';
+  }
+
+  private knownView(): FleetView {
+    return this.view ?? EMPTY_VIEW;
+  }
+
+  private viewChanged(view: FleetView): void {
+    const before = this.view;
+    this.view = view;
+    if (before?.rows === view.rows) return;
+    const self = this.settings.vm.name;
+    this.peers.update(
+      [...view.rows.vms]
+        .filter(([vm]) => vm !== self)
+        .map(([vm, {value}]) => ({vm, address: value.peers})),
+    );
+    for (const [group, database] of this.databases) {
+      const leadership = view.rows.leadership.get(group);
+      database.tell({kind: 'leadership', leadership});
+    }
+    if (before?.rows.vms.size !== view.rows.vms.size) this.showGroups();
+  }
+
+  private apply(state: OperatorState): void {
+    const before = this.operators?.configuration;
+    this.operators = state;
+    const {configuration} = state;
+    if (!configuration) return;
+    for (const group of configuration.groups.keys()) this.openDatabase(group);
+    for (const [group, database] of this.databases) {
+      if (configuration.groups.has(group)) continue;
+      database.tell({kind: 'close'});
+      this.databases.delete(group);
+    }
+    this.quota.tell({
+      kind: 'limits',
+      limits: new Map(
+        [...configuration.workspaces].map(([name, item]) => [name, item.limit]),
+      ),
+    });
+    this.showGroups();
+    if (before?.version === configuration.version) return;
+    for (const session of this.sessions) session.tell({kind: 'reconfigured'});
+  }
+
+  private openDatabase(group: string): void {
+    if (this.databases.has(group)) return;
+    const {vm, regions} = this.settings;
+    const database = new DatabaseTask(group, {
+      vm: {dataCentre: vm.data_centre, region: vm.region},
+      regionOf: dataCentre => regions[dataCentre] ?? '',
+      links: this.ports.links,
+      clock: this.clock,
+      right: leadership => this.rightOf(group, leadership),
+      onSuspect: (name, primary, since) => {
+        this.directory.tell({kind: 'hurry'});
+        this.leadership.tell({kind: 'suspected', group: name, primary, since});
+      },
+      log: this.log,
+      onFailed: err =>
+        this.log.error({event: 'database.failed', group, err}, 'task failed'),
+    });
+    this.databases.set(group, database);
+    const leadership = this.view?.rows.leadership.get(group);
+    database.tell({kind: 'leadership', leadership});
+  }
+
+  /**
+   * The proof and the records belong together, so a record that the group's
+   * task has not received yet counts already.
+   */
+  private rightOf(group: string, known: VersionedLeadership | undefined) {
+    const view = this.knownView();
+    const newest = view.rows.leadership.get(group);
+    const leadership =
+      newest && newest.version > (known?.version ?? 0) ? newest : known;
+    return rightOf(view, leadership, this.clock());
+  }
+
+  private membersChanged(members: readonly ListedMember[]): void {
+    this.members = members;
+    this.showGroups();
+  }
+
+  private membersOf(group: string): readonly ListedMember[] {
+    return (this.members ?? []).filter(item => item.group === group);
+  }
+
+  private showGroups(): void {
+    const {operators} = this;
+    for (const [group, database] of this.databases) {
+      const settings = operators?.configuration?.groups.get(group);
+      if (!operators || !settings) continue;
+      database.tell({
+        kind: 'view',
+        view: {
+          settings,
+          members: this.membersOf(group),
+          dataCentresOut: operators.dataCentresOut,
+          vmCount: Math.max(1, this.knownView().rows.vms.size),
+        },
+      });
+    }
+  }
+}
+
+const EMPTY_VIEW: FleetView = {
+  rows: {
+    vms: new Map(),
+    leadership: new Map(),
+    duty: undefined,
+    shares: undefined,
+  },
+  version: 0,
+  proof: undefined,
+  storeClock: {minOffset: -Infinity, maxOffset: Infinity},
+  joined: 'not-joined',
+};
+
+function sleep(ms: number): Promise<void> {
+  return new Promise(resolve => {
+    setTimeout(resolve, ms);
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/fleet/fleet_rows.ts
@@ -0,0 +1,110 @@
+import type {
+  DutyRecord,
+  LeadershipRecord,
+  ShareTable,
+  VersionedLeadership,
+} from '@pistachiorill/core';
+import type {TableRow} from '@pistachiorill/store';
+import {z} from 'zod';
+
+/** Keys of the rows that the VMs share. */
+export const DUTY_KEY = 'duty';
+export const SHARES_KEY = 'shares';
+const LEADERSHIP_PREFIX = 'leadership/';
+const VM_PREFIX = 'vm/';
+
+export function leadershipKey(group: string): string {
+  return LEADERSHIP_PREFIX + group;
+}
+
+export function vmKey(vm: string): string {
+  return VM_PREFIX + vm;
+}
+
+const VM_SCHEMA = z.object({
+  peers: z.string(),
+  dataCentre: z.string(),
+  incarnation: z.string(),
+});
+
+/** How a VM registers itself. */
+export type VmEntry = z.infer<typeof VM_SCHEMA>;
+
+const LEADERSHIP_SCHEMA = z.discriminatedUnion('phase', [
+  z.object({phase: z.literal('settled'), primary: z.string()}),
+  z.object({
+    phase: z.literal('moving'),
+    from: z.string(),
+    reason: z.enum(['unreachable', 'leaving', 'gone']),
+  }),
+]);
+
+const DUTY_SCHEMA = z.object({
+  holder: z.string(),
+  fence: z.number(),
+  takenAt: z.number(),
+});
+
+const SHARES_SCHEMA = z.record(
+  z.string(),
+  z.object({ppm: z.number(), revokedAt: z.number().optional()}),
+);
+
+/** A row's content with the version of the row. */
+export interface Versioned<T> {
+  readonly value: T;
+  readonly version: number;
+}
+
+/** What the rows say, decoded. */
+export interface FleetRows {
+  readonly vms: ReadonlyMap<string, Versioned<VmEntry>>;
+  readonly leadership: ReadonlyMap<string, VersionedLeadership>;
+  readonly duty: Versioned<DutyRecord> | undefined;
+  readonly shares: Versioned<ShareTable> | undefined;
+}
+
+/** Decodes the rows; unreadable ones are reported and left out. */
+export function decodeRows(
+  rows: Iterable<TableRow>,
+  onUnreadable: (key: string) => void,
+): FleetRows {
+  const vms = new Map<string, Versioned<VmEntry>>();
+  const leadership = new Map<string, VersionedLeadership>();
+  let duty: Versioned<DutyRecord> | undefined;
+  let shares: Versioned<ShareTable> | undefined;
+  for (const {key, value, version} of rows) {
+    if (key.startsWith(VM_PREFIX)) {
+      const entry = read(VM_SCHEMA, value);
+      if (entry) vms.set(key.slice(VM_PREFIX.length), {value: entry, version});
+      else onUnreadable(key);
+    } else if (key.startsWith(LEADERSHIP_PREFIX)) {
+      const record: LeadershipRecord | undefined = read(
+        LEADERSHIP_SCHEMA,
+        value,
+      );
+      const group = key.slice(LEADERSHIP_PREFIX.length);
+      if (record) leadership.set(group, {record, version});
+      else onUnreadable(key);
+    } else if (key === DUTY_KEY) {
+      const record = read(DUTY_SCHEMA, value);
+      if (record) duty = {value: record, version};
+      else onUnreadable(key);
+    } else if (key === SHARES_KEY) {
+      const table = read(SHARES_SCHEMA, value);
+      if (table) shares = {value: table as ShareTable, version};
+      else onUnreadable(key);
+    }
+  }
+  return {vms, leadership, duty, shares};
+}
+
+function read<T>(schema: z.ZodType<T>, text: string): T | undefined {
+  try {
+    const parsed = schema.safeParse(JSON.parse(text));
+    return parsed.success ? parsed.data : undefined;
+  } catch {
+    // Not JSON; the caller reports the row's key.
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/fleet/fleet_view.ts
@@ -0,0 +1,56 @@
+import {
+  PRIMARY_RIGHT_MS,
+  latestStoreTime,
+  primaryRight,
+  spendableShare,
+} from '@pistachiorill/core';
+import type {
+  PrimaryRight,
+  StoreClock,
+  StoreProof,
+  VersionedLeadership,
+} from '@pistachiorill/core';
+import type {FleetRows} from './fleet_rows.js';
+
+/** One VM's knowledge of the shared rows at a moment. */
+export interface FleetView {
+  readonly rows: FleetRows;
+  /** The newest version of the store that is known. */
+  readonly version: number;
+  readonly proof: StoreProof | undefined;
+  readonly storeClock: StoreClock;
+  /** Whether the rows show this process. */
+  readonly joined: 'joined' | 'not-joined';
+}
+
+/** Whether the view is recent enough to act on. */
+export function isProven(view: FleetView, now: number): boolean {
+  return (
+    view.joined === 'joined' &&
+    view.proof !== undefined &&
+    latestStoreTime(view.storeClock, now) <
+      view.proof.asOfStoreMs + PRIMARY_RIGHT_MS
+  );
+}
+
+/** The right to use a group's primary now. */
+export function rightOf(
+  view: FleetView,
+  leadership: VersionedLeadership | undefined,
+  now: number,
+): PrimaryRight {
+  return primaryRight(
+    {
+      record: leadership?.record,
+      proof: view.proof,
+      joined: view.joined,
+    },
+    latestStoreTime(view.storeClock, now),
+  );
+}
+
+/** The part of every rate that the VM may spend now. */
+export function shareOf(view: FleetView, vm: string, now: number): number {
+  const {shares} = view.rows;
+  return shares && isProven(view, now) ? spendableShare(shares.value, vm) : 0;
+}
--- /dev/null
+++ b/packages/gateway/src/index.ts
@@ -0,0 +1,18 @@
+/** The daemon of an entry VM for platforms on which a session is a connection. */
+export {GatewayDaemon} from './daemon/gateway_daemon.js';
+export type {GatewayPorts, OpenPorts} from './daemon/gateway_daemon.js';
+export {checkGatewaySettings} from './daemon/gateway_settings.js';
+export type {GatewaySettings} from './daemon/gateway_settings.js';
+export {listenOn} from './daemon/http_endpoints.js';
+export {CallerLink, CallerServer} from './ports/caller_link.js';
+export type * from './ports/caller_link.js';
+export {ConfigurationSource} from './ports/configuration_source.js';
+export type {OperatorState} from './ports/configuration_source.js';
+export {MemberDirectory} from './ports/member_directory.js';
+export type {ListedMember} from './ports/member_directory.js';
+export {MemberLink, MemberLinks} from './ports/member_link.js';
+export type * from './ports/member_link.js';
+export {PrimaryOrders} from './ports/primary_orders.js';
+export type {OrderError, PromotionOrder} from './ports/primary_orders.js';
+export {ReadinessEndpoint} from './ports/readiness_endpoint.js';
+export type {Readiness} from './ports/readiness_endpoint.js';
--- /dev/null
+++ b/packages/gateway/src/leadership/move.ts
@@ -0,0 +1,410 @@
+import type {Clock} from '@pistachiorill/tasks';
+import {ask} from '@pistachiorill/tasks';
+import {
+  chooseSuccessor,
+  compareLogPosition,
+  earliestStoreTime,
+  holdsDuty,
+  latestStoreTime,
+  mayStillHoldRight,
+} from '@pistachiorill/core';
+import type {
+  DutyRecord,
+  LogPosition,
+  MoveReason,
+  Result,
+  SuccessorReport,
+} from '@pistachiorill/core';
+import type {
+  RowTransaction,
+  StoreWriteError,
+  TransactionAnswer,
+} from '@pistachiorill/store';
+import type {Logger} from '@pistachiorill/telemetry';
+import type {StatusResult} from '../database/database_message.js';
+import type {DatabaseTask} from '../database/database_task.js';
+import {DUTY_KEY, leadershipKey, vmKey} from '../fleet/fleet_rows.js';
+import type {FleetView} from '../fleet/fleet_view.js';
+import type {PeerSet} from '../peers/peer_set.js';
+import type {ListedMember} from '../ports/member_directory.js';
+import type {PrimaryOrders} from '../ports/primary_orders.js';
+
+/** How often VMs that have not answered are asked to stop again. */
+const STOP_RETRY_MS = 150;
+/** Above the time that statements may take to finish. */
+const STOP_TIMEOUT_MS = 900;
+const STATUS_INTERVAL_MS = 60;
+const VIEW_INTERVAL_MS = 10;
+const ORDER_TIMEOUT_MS = 1_000;
+const ORDER_RETRY_MS = 200;
+/** An order that has not taken effect by then is given again. */
+const EFFECT_WAIT_MS = 2_500;
+const STORE_RETRY_MS = 150;
+/** A move that cannot go on is given up, and another VM may take it over. */
+const MOVE_LIMIT_MS = 20_000;
+
+export interface MoveRequest {
+  readonly group: string;
+  readonly from: string;
+  readonly reason: MoveReason;
+}
+
+/** What a move needs of the VM. */
+export interface MoveTools {
+  readonly vm: string;
+  readonly database: DatabaseTask;
+  readonly view: () => FleetView;
+  readonly members: () => readonly ListedMember[];
+  /** Whether a member may lead: not leaving, its data centre in service. */
+  readonly isEligible: (member: ListedMember) => boolean;
+  readonly isNear: (member: ListedMember) => boolean;
+  readonly synchronousReplicas: () => number;
+  readonly transact: (
+    transaction: RowTransaction,
+  ) => Promise<Result<TransactionAnswer, StoreWriteError>>;
+  readonly peers: PeerSet;
+  readonly orders: PrimaryOrders;
+  readonly clock: Clock;
+  readonly log: Logger;
+}
+
+export type MoveOutcome = 'settled' | 'reverted' | 'lost' | 'given-up';
+
+/** The store's answer to the record that announces a move. */
+interface Announced {
+  readonly version: number;
+  readonly storeMs: number;
+}
+
+/**
+ * Gives a group another primary. The order of the steps is what keeps a former
+ * primary from serving: the record says that the group moves; every VM has
+ * stopped or lost its right; only then is a successor promoted and recorded.
+ */
+export class Move {
+  private fence = 0;
+  private readonly startedAt: number;
+
+  constructor(
+    private readonly request: MoveRequest,
+    private readonly tools: MoveTools,
+  ) {
+    this.startedAt = tools.clock();
+  }
+
+  async run(fence: number): Promise<MoveOutcome> {
+    this.fence = fence;
+    const announced = await this.announce();
+    if (!announced) return 'lost';
+    const seen = await this.stopAll(announced);
+    return this.promoteSuccessor(seen);
+  }
+
+  /** Records that the group moves, unless a former holder already did. */
+  private async announce(): Promise<Announced | undefined> {
+    const {group, from, reason} = this.request;
+    while (this.isInTime()) {
+      const view = this.tools.view();
+      const current = view.rows.leadership.get(group);
+      const duty = view.rows.duty;
+      if (!current || !duty || !this.holds(duty.value)) return undefined;
+      const {record} = current;
+      if (record.phase === 'settled' && record.primary !== from) {
+        return undefined;
+      }
+      const moving = {phase: 'moving' as const, from, reason};
+      const result = await this.tools.transact({
+        expected: new Map([
+          [leadershipKey(group), current.version],
+          [DUTY_KEY, duty.version],
+        ]),
+        puts: new Map([[leadershipKey(group), JSON.stringify(moving)]]),
+      });
+      if (result.ok) {
+        this.log('announced', {version: result.value.version});
+        return result.value;
+      }
+      this.log('announce-failed', {err: result.err});
+      await sleep(STORE_RETRY_MS);
+    }
+    return undefined;
+  }
+
+  /** Waits until no VM uses the former primary; returns the last position. */
+  private async stopAll(
+    announced: Announced,
+  ): Promise<LogPosition | undefined> {
+    const {group, from, reason} = this.request;
+    const req = {group, version: announced.version, from, reason};
+    let seen = await this.stopOwn(announced.version);
+    await this.knowAllVms(announced);
+    const pending = new Set(this.tools.view().rows.vms.keys());
+    pending.delete(this.tools.vm);
+    while (pending.size > 0 && this.mayBeUsed(announced)) {
+      const started = this.tools.clock();
+      await Promise.all(
+        [...pending].map(async vm => {
+          const answer = await this.tools.peers.stopPrimary(
+            vm,
+            req,
+            STOP_TIMEOUT_MS,
+          );
+          if (!answer.ok) return;
+          pending.delete(vm);
+          seen = later(seen, answer.value.seen ?? undefined);
+        }),
+      );
+      // VMs that left the list, or are replaced by a new process, hold nothing.
+      const listed = this.tools.view().rows.vms;
+      for (const vm of pending) if (!listed.has(vm)) pending.delete(vm);
+      const pause = STOP_RETRY_MS - (this.tools.clock() - started);
+      if (pending.size > 0 && pause > 0) await sleep(pause);
+    }
+    this.log('stopped', {unreached: [...pending]});
+    await this.removeUnreached([...pending]);
+    return seen;
+  }
+
+  /** Waits for the rows of all VMs that registered before the record. */
+  private async knowAllVms(announced: Announced): Promise<void> {
+    while (
+      this.tools.view().version < announced.version &&
+      this.mayBeUsed(announced)
+    ) {
+      await sleep(VIEW_INTERVAL_MS);
+    }
+  }
+
+  /**
+   * Takes VMs off the list whose knowledge has expired, so that the next move
+   * does not wait for them. One that lives registers anew.
+   */
+  private async removeUnreached(names: readonly string[]): Promise<void> {
+    const {vms} = this.tools.view().rows;
+    for (const vm of names) {
+      const version = vms.get(vm)?.version;
+      if (version === undefined) continue;
+      const result = await this.tools.transact({
+        expected: new Map([[vmKey(vm), version]]),
+        puts: new Map(),
+        removals: [vmKey(vm)],
+      });
+      this.log('removed-vm', {vm, result: result.ok ? 'done' : result.err});
+    }
+  }
+
+  private stopOwn(version: number): Promise<LogPosition | undefined> {
+    const {from, reason} = this.request;
+    return ask(reply =>
+      this.tools.database.tell({
+        kind: 'stop-primary',
+        leadership: {record: {phase: 'moving', from, reason}, version},
+        mode: reason === 'leaving' ? 'finish' : 'abandon',
+        reply,
+      }),
+    );
+  }
+
+  private mayBeUsed(announced: Announced): boolean {
+    const earliest = earliestStoreTime(
+      this.tools.view().storeClock,
+      this.tools.clock(),
+    );
+    return mayStillHoldRight(announced.storeMs, earliest);
+  }
+
+  private async promoteSuccessor(
+    seen: LogPosition | undefined,
+  ): Promise<MoveOutcome> {
+    const {from, reason} = this.request;
+    const choosingSince = this.tools.clock();
+    while (this.isInTime()) {
+      const now = this.tools.clock();
+      const others = this.tools.members().filter(item => item.member !== from);
+      const [reports, former] = await Promise.all([
+        this.reportsOf(others),
+        this.statusOf(from),
+      ]);
+      const formerTerm = former.ok ? former.value.term : (seen?.term ?? 0);
+      const required =
+        reason === 'leaving'
+          ? later(seen, former.ok ? former.value.received : undefined)
+          : undefined;
+      const choice = chooseSuccessor(
+        {
+          reports,
+          listed: others.length,
+          required,
+          synchronousReplicas: this.tools.synchronousReplicas(),
+          waitedMs: now - choosingSince,
+        },
+        formerTerm,
+      );
+      if (choice.kind === 'already') return this.settle(choice.member);
+      if (choice.kind === 'promote') {
+        const done = await this.promote(choice.member, formerTerm);
+        if (done) return this.settle(choice.member, formerTerm);
+      } else if (
+        choice.reason === 'no-report' &&
+        former.ok &&
+        former.value.role === 'primary' &&
+        now - choosingSince > EFFECT_WAIT_MS
+      ) {
+        return (await this.settle(from)) === 'settled' ? 'reverted' : 'lost';
+      }
+      await sleep(STATUS_INTERVAL_MS);
+    }
+    return 'given-up';
+  }
+
+  private async reportsOf(
+    members: readonly ListedMember[],
+  ): Promise<readonly SuccessorReport[]> {
+    const reports = await Promise.all(
+      members.map(async listed => {
+        const status = await this.statusOf(listed.member);
+        if (!status.ok) return undefined;
+        const {role, term, received} = status.value;
+        const report: SuccessorReport = {
+          member: listed.member,
+          role,
+          term,
+          received,
+          eligibility: this.tools.isEligible(listed) ? 'eligible' : 'leaving',
+          proximity: this.tools.isNear(listed) ? 'near' : 'far',
+        };
+        return report;
+      }),
+    );
+    return reports.filter(item => item !== undefined);
+  }
+
+  private statusOf(member: string): Promise<StatusResult> {
+    return ask(reply =>
+      this.tools.database.tell({kind: 'status', member, reply}),
+    );
+  }
+
+  /** Orders the promotion and waits until the member leads. */
+  private async promote(member: string, formerTerm: number): Promise<boolean> {
+    const {group} = this.request;
+    const until = this.tools.clock() + EFFECT_WAIT_MS;
+    let ordered: 'no' | 'yes' = 'no';
+    while (this.tools.clock() < until) {
+      if (ordered === 'no') {
+        const duty = this.tools.view().rows.duty;
+        if (!duty || !this.holds(duty.value)) {
+          // The duty is taken anew with the same number while it is free.
+          if (!(await this.extendDuty())) return false;
+          continue;
+        }
+        const result = await this.tools.orders.promote(
+          {group, member, holder: this.tools.vm, fence: this.fence},
+          ORDER_TIMEOUT_MS,
+        );
+        this.log('ordered', {member, result: result.ok ? 'done' : result.err});
+        if (!result.ok && result.err.kind === 'rejected') return false;
+        if (result.ok) ordered = 'yes';
+        else await sleep(ORDER_RETRY_MS);
+      }
+      const status = await this.statusOf(member);
+      if (
+        status.ok &&
+        status.value.role === 'primary' &&
+        status.value.term > formerTerm
+      ) {
+        return true;
+      }
+      await sleep(STATUS_INTERVAL_MS);
+    }
+    return false;
+  }
+
+  private async extendDuty(): Promise<boolean> {
+    const view = this.tools.view();
+    const duty = view.rows.duty;
+    if (!duty || duty.value.holder !== this.tools.vm) return false;
+    const takenAt = latestStoreTime(view.storeClock, this.tools.clock());
+    const record: DutyRecord = {...duty.value, takenAt};
+    const result = await this.tools.transact({
+      expected: new Map([[DUTY_KEY, duty.version]]),
+      puts: new Map([[DUTY_KEY, JSON.stringify(record)]]),
+    });
+    if (!result.ok) await sleep(STORE_RETRY_MS);
+    return result.ok || result.err.kind !== 'conflict';
+  }
+
+  private holds(duty: DutyRecord): boolean {
+    return (
+      duty.fence === this.fence &&
+      holdsDuty(
+        this.tools.vm,
+        duty,
+        latestStoreTime(this.tools.view().storeClock, this.tools.clock()),
+        ORDER_TIMEOUT_MS,
+      )
+    );
+  }
+
+  private async settle(
+    primary: string,
+    formerTerm?: number,
+  ): Promise<MoveOutcome> {
+    const {group, from} = this.request;
+    while (this.isInTime()) {
+      const current = this.tools.view().rows.leadership.get(group);
+      if (!current || current.record.phase !== 'moving') return 'lost';
+      const result = await this.tools.transact({
+        expected: new Map([[leadershipKey(group), current.version]]),
+        puts: new Map([
+          [leadershipKey(group), JSON.stringify({phase: 'settled', primary})],
+        ]),
+      });
+      if (result.ok) {
+        this.log('settled', {primary, version: result.value.version});
+        if (formerTerm !== undefined) {
+          this.tools.database.tell({
+            kind: 'step-down',
+            member: from,
+            term: formerTerm + 1,
+          });
+        }
+        return 'settled';
+      }
+      await sleep(STORE_RETRY_MS);
+    }
+    return 'given-up';
+  }
+
+  private isInTime(): boolean {
+    return this.tools.clock() - this.startedAt < MOVE_LIMIT_MS;
+  }
+
+  private log(step: string, details: object): void {
+    this.tools.log.info(
+      {
+        event: 'move.step',
+        step,
+        ...this.request,
+        fence: this.fence,
+        elapsedMs: Math.round(this.tools.clock() - this.startedAt),
+        ...details,
+      },
+      'change of primary',
+    );
+  }
+}
+
+function later(
+  a: LogPosition | undefined,
+  b: LogPosition | undefined,
+): LogPosition | undefined {
+  if (!a || !b) return a ?? b;
+  return compareLogPosition(a, b) >= 0 ? a : b;
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise(resolve => {
+    setTimeout(resolve, ms);
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/operators/configuration_task.ts
@@ -0,0 +1,133 @@
+import {Task} from '@pistachiorill/tasks';
+import type {Logger} from '@pistachiorill/telemetry';
+import type {
+  ConfigurationSource,
+  OperatorState,
+} from '../ports/configuration_source.js';
+import type {PeerSet} from '../peers/peer_set.js';
+
+/** How long the store holds a request for the next state. */
+const WATCH_MS = 20_000;
+const FIRST_RETRY_MS = 200;
+const MAX_RETRY_MS = 1_000;
+const PEER_TIMEOUT_MS = 500;
+const ASKED_PEERS = 2;
+
+export type ConfigurationMessage =
+  | {readonly kind: 'start'}
+  | {
+      readonly kind: 'learned';
+      readonly state: OperatorState;
+      readonly from: 'store' | 'peer';
+    }
+  | {readonly kind: 'stop'};
+
+export interface ConfigurationTools {
+  readonly source: ConfigurationSource;
+  readonly peers: PeerSet;
+  readonly onApplied: (state: OperatorState) => void;
+  readonly onStoreFailure: (call: string) => void;
+  readonly log: Logger;
+  readonly onFailed: (err: unknown) => void;
+}
+
+/** Owns the newest state that operators put in force; it never goes back. */
+export class ConfigurationTask extends Task<ConfigurationMessage> {
+  private current: OperatorState | undefined;
+  private phase: 'running' | 'stopped' = 'running';
+
+  constructor(private readonly tools: ConfigurationTools) {
+    super();
+  }
+
+  protected override handle(message: ConfigurationMessage): void {
+    switch (message.kind) {
+      case 'start':
+        void this.follow().catch(err => this.onFailure(err));
+        return;
+      case 'learned':
+        this.learned(message.state, message.from);
+        return;
+      case 'stop':
+        this.phase = 'stopped';
+        return;
+    }
+  }
+
+  protected override onFailure(err: unknown): void {
+    this.tools.onFailed(err);
+  }
+
+  private async follow(): Promise<void> {
+    const {source, log} = this.tools;
+    let retryMs = FIRST_RETRY_MS;
+    let next: 'read' | 'wait' = 'read';
+    let store: 'answering' | 'failing' = 'answering';
+    while (this.phase === 'running') {
+      const result =
+        next === 'read' ? await source.read() : await source.next(WATCH_MS);
+      if (result.ok) {
+        if (store === 'failing') {
+          log.info({event: 'configuration.store-answers'}, 'store answers');
+        }
+        store = 'answering';
+        retryMs = FIRST_RETRY_MS;
+        next = 'wait';
+        this.tell({kind: 'learned', state: result.value, from: 'store'});
+        continue;
+      }
+      next = 'read';
+      if (result.err.kind === 'history-lost') continue;
+      this.tools.onStoreFailure('configuration');
+      if (store === 'answering') {
+        const {detail} = result.err;
+        log.warn({event: 'configuration.store-fails', detail}, 'store fails');
+      }
+      store = 'failing';
+      await this.askPeers();
+      await sleep(retryMs);
+      retryMs = Math.min(MAX_RETRY_MS, retryMs * 2);
+    }
+  }
+
+  private async askPeers(): Promise<void> {
+    const {peers, source} = this.tools;
+    const revision = this.current?.revision ?? 0;
+    await Promise.all(
+      peers.sample(ASKED_PEERS, undefined).map(async peer => {
+        const answer = await peers.configuration(
+          peer,
+          revision,
+          PEER_TIMEOUT_MS,
+        );
+        if (!answer.ok || !answer.value) return;
+        const state = source.decode(answer.value.encoded);
+        if (state) this.tell({kind: 'learned', state, from: 'peer'});
+      }),
+    );
+  }
+
+  private learned(state: OperatorState, from: 'store' | 'peer'): void {
+    const before = this.current;
+    if (before && state.revision <= before.revision) return;
+    this.current = state;
+    this.tools.log.info(
+      {
+        event: 'configuration.applied',
+        from,
+        revision: state.revision,
+        version: state.configuration?.version,
+        routes: state.configuration?.routes.size,
+        out: [...state.dataCentresOut],
+      },
+      'configuration applied',
+    );
+    this.tools.onApplied(state);
+  }
+}
+
+function sleep(ms: number): Promise<void> {
+  return new Promise(resolve => {
+    setTimeout(resolve, ms);
+  });
+}
--- /dev/null
+++ b/packages/gateway/src/peers/peer_set.ts
@@ -0,0 +1,161 @@
+import {Agent} from 'node:http';
+import {fail} from '@pistachiorill/core';
+import type {
+  LogPosition,
+  PrimarySighting,
+  Random,
+  Result,
+} from '@pistachiorill/core';
+import {callPeer, peerLink} from '@pistachiorill/peers';
+import type {PeerError} from '@pistachiorill/peers';
+import {createTRPCClient} from '@trpc/client';
+import type {TRPCClient} from '@trpc/client';
+import type {RelayedRows} from '../fleet/fleet_task.js';
+import type {ListedMember} from '../ports/member_directory.js';
+import type {RelayedConfiguration} from './gateway_handlers.js';
+import type {GatewayRouter, StopRequest} from './gateway_router.js';
+
+/** Where a VM listens for its peers. */
+export interface PeerAddress {
+  readonly vm: string;
+  readonly address: string;
+}
+
+interface Peer {
+  readonly address: string;
+  readonly agent: Agent;
+  readonly client: TRPCClient<GatewayRouter>;
+  /** Calls in a row without an answer. */
+  failures: number;
+}
+
+type Answer<T> = Promise<Result<T, PeerError>>;
+
+/** Failures in a row after which a peer is asked only when it must be. */
+const FAILURE_LIMIT = 2;
+const IDLE_TIMEOUT_MS = 30_000;
+
+/** Calls the other VMs. */
+export class PeerSet {
+  private readonly peers = new Map<string, Peer>();
+
+  constructor(private readonly random: Random) {}
+
+  /** Names of the other VMs that are registered. */
+  get names(): readonly string[] {
+    return [...this.peers.keys()];
+  }
+
+  /** Takes over the registered VMs. */
+  update(addresses: readonly PeerAddress[]): void {
+    const listed = new Map(addresses.map(item => [item.vm, item.address]));
+    for (const [vm, peer] of this.peers) {
+      if (listed.get(vm) === peer.address) continue;
+      peer.agent.destroy();
+      this.peers.delete(vm);
+    }
+    for (const [vm, address] of listed) {
+      if (!this.peers.has(vm)) this.peers.set(vm, newPeer(address));
+    }
+  }
+
+  /** Picks peers at random; a preferred one and those that answer go first. */
+  sample(count: number, preferred: string | undefined): readonly string[] {
+    const names = [...this.peers]
+      .map(([vm, peer]) => ({
+        vm,
+        rank:
+          (vm === preferred ? -1 : 0) +
+          (peer.failures >= FAILURE_LIMIT ? 1 : 0) +
+          this.random.fraction() / 2,
+      }))
+      .sort((a, b) => a.rank - b.rank)
+      .map(item => item.vm);
+    return names.slice(0, count);
+  }
+
+  /** Whether the last calls to a peer went without an answer. */
+  isSilent(vm: string): boolean {
+    return (this.peers.get(vm)?.failures ?? 0) >= FAILURE_LIMIT;
+  }
+
+  stopPrimary(
+    vm: string,
+    req: StopRequest,
+    timeoutMs: number,
+  ): Answer<{readonly seen: LogPosition | null}> {
+    return this.call(vm, timeoutMs, (c, o) => c.stopPrimary.mutate(req, o));
+  }
+
+  sight(vm: string, group: string, timeoutMs: number): Answer<PrimarySighting> {
+    return this.call(vm, timeoutMs, (c, o) => c.sight.mutate({group}, o));
+  }
+
+  suspect(vm: string, group: string, timeoutMs: number): Answer<void> {
+    return this.call(vm, timeoutMs, (c, o) => c.suspect.mutate({group}, o));
+  }
+
+  ping(vm: string, timeoutMs: number): Answer<void> {
+    return this.call(vm, timeoutMs, (c, o) => c.ping.mutate(undefined, o));
+  }
+
+  relay(vm: string, timeoutMs: number): Answer<RelayedRows | null> {
+    return this.call(vm, timeoutMs, (c, o) => c.relay.mutate(undefined, o));
+  }
+
+  configuration(
+    vm: string,
+    newerThan: number,
+    timeoutMs: number,
+  ): Answer<RelayedConfiguration | null> {
+    return this.call(vm, timeoutMs, (c, o) =>
+      c.configuration.mutate({newerThan}, o),
+    );
+  }
+
+  directory(vm: string, timeoutMs: number): Answer<readonly ListedMember[]> {
+    return this.call(vm, timeoutMs, (c, o) => c.directory.mutate(undefined, o));
+  }
+
+  tokens(
+    vm: string,
+    workspace: string,
+    asked: number,
+    timeoutMs: number,
+  ): Answer<number> {
+    return this.call(vm, timeoutMs, (c, o) =>
+      c.tokens.mutate({workspace, asked}, o),
+    );
+  }
+
+  close(): void {
+    for (const peer of this.peers.values()) peer.agent.destroy();
+    this.peers.clear();
+  }
+
+  private async call<T>(
+    vm: string,
+    timeoutMs: number,
+    send: (client: TRPCClient<GatewayRouter>, options: object) => Promise<T>,
+  ): Answer<T> {
+    const peer = this.peers.get(vm);
+    if (!peer) return fail({kind: 'unreachable', detail: `unknown VM ${vm}`});
+    const result = await callPeer({timeoutMs}, options =>
+      send(peer.client, options),
+    );
+    peer.failures = result.ok ? 0 : peer.failures + 1;
+    return result;
+  }
+}
+
+function newPeer(address: string): Peer {
+  const agent = new Agent({
+    keepAlive: true,
+    scheduling: 'lifo',
+    timeout: IDLE_TIMEOUT_MS,
+  });
+  const client = createTRPCClient<GatewayRouter>({
+    links: [peerLink<GatewayRouter>(address, agent)],
+  });
+  return {address, agent, client, failures: 0};
+}
--- /dev/null
+++ b/packages/gateway/src/quota/quota_task.ts
@@ -0,0 +1,270 @@
+import {
+  accrueTokens,
+  demandAt,
+  emptyBucket,
+  noteDemand,
+  tokensToAsk,
+  tokensToGive,
+} from '@pistachiorill/core';
+import type {QuotaLimits, TokenBucket} from '@pistachiorill/core';
+import {Task} from '@pistachiorill/tasks';
+import type {Clock, Reply} from '@pistachiorill/tasks';
+import type {Logger} from '@pistachiorill/telemetry';
+import type {PeerSet} from '../peers/peer_set.js';
+
+/** How often a VM asks its peers for tokens of one workspace. */
+const ASK_INTERVAL_MS = 60;
+/** How long a VM waits before it asks again after no peer had any. */
+const DRY_BACKOFF_MS = 250;
+/** Peers that are asked at a time. */
+const ASKED_PEERS = 2;
+const ASK_TIMEOUT_MS = 150;
+const TICK_MS = 20;
+
+export type Admission =
+  | {readonly kind: 'admitted'}
+  | {readonly kind: 'refused'; readonly retryAfterMs: number};
+
+export type QuotaMessage =
+  | {
+      readonly kind: 'limits';
+      readonly limits: ReadonlyMap<string, QuotaLimits>;
+    }
+  | {
+      readonly kind: 'admit';
+      readonly workspace: string;
+      readonly until: number;
+      readonly reply: Reply<Admission>;
+    }
+  /** Returns the token of an operation that certainly did not run. */
+  | {readonly kind: 'refund'; readonly workspace: string}
+  /** A peer asks for tokens; the answer is what it may add to its own. */
+  | {
+      readonly kind: 'give';
+      readonly workspace: string;
+      readonly asked: number;
+      readonly reply: Reply<number>;
+    }
+  | {
+      readonly kind: 'received';
+      readonly workspace: string;
+      readonly from: string;
+      readonly tokens: number;
+    }
+  | {readonly kind: 'tick'};
+
+export interface QuotaTools {
+  readonly clock: Clock;
+  /** The VM's part of each rate in parts per million, 0 while unproven. */
+  readonly sharePpm: () => number;
+  readonly peers: PeerSet;
+  readonly log: Logger;
+  readonly onFailed: (err: unknown) => void;
+}
+
+interface Account {
+  limits: QuotaLimits;
+  bucket: TokenBucket;
+  waiting: Array<{readonly until: number; readonly reply: Reply<Admission>}>;
+  askAt: number;
+  /** The peer that last had tokens to give. */
+  lender: string | undefined;
+}
+
+/** Owns the VM's tokens of every workspace. */
+export class QuotaTask extends Task<QuotaMessage> {
+  private readonly accounts = new Map<string, Account>();
+  private ticker: NodeJS.Timeout | undefined;
+
+  constructor(private readonly tools: QuotaTools) {
+    super();
+  }
+
+  protected override handle(message: QuotaMessage): void {
+    const now = this.tools.clock();
+    switch (message.kind) {
+      case 'limits':
+        this.setLimits(message.limits, now);
+        break;
+      case 'admit':
+        this.admit(message, now);
+        break;
+      case 'refund':
+        this.add(message.workspace, 1, now);
+        break;
+      case 'give':
+        message.reply.answer(this.give(message.workspace, message.asked, now));
+        break;
+      case 'received':
+        this.received(message, now);
+        break;
+      case 'tick':
+        for (const [workspace, account] of this.accounts) {
+          if (account.waiting.length > 0) this.serve(workspace, account, now);
+        }
+        break;
+    }
+    this.scheduleTick();
+  }
+
+  protected override onFailure(err: unknown): void {
+    this.tools.onFailed(err);
+  }
+
+  private setLimits(
+    limits: ReadonlyMap<string, QuotaLimits>,
+    now: number,
+  ): void {
+    for (const [workspace, account] of this.accounts) {
+      if (limits.has(workspace)) continue;
+      for (const {reply} of account.waiting) {
+        reply.answer({kind: 'refused', retryAfterMs: 0});
+      }
+      this.accounts.delete(workspace);
+    }
+    for (const [workspace, limit] of limits) {
+      const account = this.accounts.get(workspace);
+      if (account) {
+        this.accrue(account, now);
+        account.limits = limit;
+      } else {
+        this.accounts.set(workspace, {
+          limits: limit,
+          bucket: emptyBucket(now),
+          waiting: [],
+          askAt: -Infinity,
+          lender: undefined,
+        });
+      }
+    }
+  }
+
+  private admit(
+    message: Extract<QuotaMessage, {kind: 'admit'}>,
+    now: number,
+  ): void {
+    const account = this.accounts.get(message.workspace);
+    if (!account) {
+      message.reply.answer({kind: 'refused', retryAfterMs: 0});
+      return;
+    }
+    account.bucket = noteDemand(account.bucket, now);
+    account.waiting.push({until: message.until, reply: message.reply});
+    this.serve(message.workspace, account, now);
+  }
+
+  private serve(workspace: string, account: Account, now: number): void {
+    this.accrue(account, now);
+    while (account.waiting.length > 0 && account.bucket.tokens >= 1) {
+      const {bucket} = account;
+      account.bucket = {...bucket, tokens: bucket.tokens - 1};
+      account.waiting.shift()?.reply.answer({kind: 'admitted'});
+    }
+    account.waiting = account.waiting.filter(waiter => {
+      if (now < waiter.until) return true;
+      const retryAfterMs = this.untilNextToken(account);
+      waiter.reply.answer({kind: 'refused', retryAfterMs});
+      return false;
+    });
+    const asked = tokensToAsk(account.bucket, account.waiting.length, now);
+    if (asked > 0 && now >= account.askAt) {
+      account.askAt = now + ASK_INTERVAL_MS;
+      this.askPeers(workspace, account, asked);
+    }
+  }
+
+  private untilNextToken({limits, bucket}: Account): number {
+    const perSecond = (limits.rate * this.tools.sharePpm()) / 1_000_000;
+    const missing = Math.max(0, 1 - bucket.tokens);
+    return Math.min(
+      1_000,
+      Math.ceil((missing / Math.max(1, perSecond)) * 1_000),
+    );
+  }
+
+  private askPeers(workspace: string, account: Account, tokens: number): void {
+    const names = this.tools.peers.sample(ASKED_PEERS, account.lender);
+    for (const from of names) {
+      const each = Math.ceil(tokens / names.length);
+      void this.tools.peers
+        .tokens(from, workspace, each, ASK_TIMEOUT_MS)
+        .then(result =>
+          this.tell({
+            kind: 'received',
+            workspace,
+            from,
+            tokens: result.ok ? result.value : 0,
+          }),
+        );
+    }
+  }
+
+  private received(
+    {workspace, from, tokens}: Extract<QuotaMessage, {kind: 'received'}>,
+    now: number,
+  ): void {
+    const account = this.accounts.get(workspace);
+    if (!account) return;
+    if (tokens > 0) {
+      account.lender = from;
+      account.bucket = {
+        ...account.bucket,
+        tokens: Math.min(account.limits.burst, account.bucket.tokens + tokens),
+      };
+    } else {
+      if (account.lender === from) account.lender = undefined;
+      account.askAt = Math.max(account.askAt, now + DRY_BACKOFF_MS);
+    }
+    this.serve(workspace, account, now);
+  }
+
+  private give(workspace: string, asked: number, now: number): number {
+    const account = this.accounts.get(workspace);
+    if (!account || account.waiting.length > 0) return 0;
+    this.accrue(account, now);
+    const given = tokensToGive(account.bucket, asked, now);
+    account.bucket = {
+      ...account.bucket,
+      tokens: account.bucket.tokens - given,
+    };
+    return given;
+  }
+
+  private add(workspace: string, tokens: number, now: number): void {
+    const account = this.accounts.get(workspace);
+    if (!account) return;
+    this.accrue(account, now);
+    const {bucket, limits} = account;
+    account.bucket = {
+      ...bucket,
+      tokens: Math.min(limits.burst, bucket.tokens + tokens),
+    };
+  }
+
+  private accrue(account: Account, now: number): void {
+    account.bucket = accrueTokens(
+      account.bucket,
+      account.limits,
+      this.tools.sharePpm(),
+      now,
+    );
+  }
+
+  private scheduleTick(): void {
+    if (this.ticker) return;
+    const isWaiting = [...this.accounts.values()].some(
+      account => account.waiting.length > 0,
+    );
+    if (!isWaiting) return;
+    this.ticker = setTimeout(() => {
+      this.ticker = undefined;
+      this.tell({kind: 'tick'});
+    }, TICK_MS);
+  }
+
+  /** The present demand of a workspace, for tests and status. */
+  demandOf(workspace: string): number {
+    const account = this.accounts.get(workspace);
+    return account ? demandAt(account.bucket, this.tools.clock()) : 0;
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/session/conclude_fault.ts
@@ -0,0 +1,43 @@
+import {concludeAttempt} from '@pistachiorill/core';
+import type {AttemptFailure, StatementEffect} from '@pistachiorill/core';
+import type {JobFault} from '../database/member_connection.js';
+import type {SessionRefusal} from '../ports/caller_link.js';
+
+/** Turns a failed attempt into what the caller may conclude. */
+export function concludeFault(
+  effect: StatementEffect,
+  scope: 'first' | 'pinned',
+  fault: JobFault,
+): {conclusion: 'retry' | 'final'; refusal: SessionRefusal} {
+  switch (concludeAttempt(effect, scope, fault.failure)) {
+    case 'retry':
+      return {conclusion: 'retry', refusal: busy(fault.detail, 50)};
+    case 'nothing-kept':
+      return {
+        conclusion: 'final',
+        refusal: {kind: 'aborted', detail: fault.detail},
+      };
+    case 'unknown':
+      return {
+        conclusion: 'final',
+        refusal: {kind: 'unknown-outcome', detail: fault.detail},
+      };
+    case 'report-error':
+      return {conclusion: 'final', refusal: reported(fault)};
+  }
+}
+
+function reported(fault: JobFault): SessionRefusal {
+  const kinds: Partial<Record<AttemptFailure, SessionRefusal['kind']>> = {
+    'timed-out': 'timed-out',
+  };
+  return {
+    kind: kinds[fault.failure] ?? 'failed',
+    detail: fault.detail,
+  };
+}
+
+/** The refusal of a statement that was not run. */
+export function busy(detail: string, retryAfterMs: number): SessionRefusal {
+  return {kind: 'busy', detail, retryAfterMs};
+}
--- /dev/null
+++ b/packages/gateway/src/session/open_transaction.ts
@@ -0,0 +1,110 @@
+import {fail, ok} from '@pistachiorill/core';
+import type {
+  LogPosition,
+  PreparedStatement,
+  Result,
+  SessionValues,
+  StatementAccess,
+} from '@pistachiorill/core';
+import {ask} from '@pistachiorill/tasks';
+import type {Clock} from '@pistachiorill/tasks';
+import type {LeaseValidity} from '../database/database_message.js';
+import type {DatabaseTask} from '../database/database_task.js';
+import type {Lease} from '../database/lease.js';
+import type {JobFault, JobResult} from '../database/member_connection.js';
+import type {SessionRefusal} from '../ports/caller_link.js';
+import type {MemberAnswer, MemberCommand} from '../ports/member_link.js';
+import {concludeFault} from './conclude_fault.js';
+
+/** How long a member may take to roll back. */
+const ROLLBACK_TIMEOUT_MS = 400;
+
+/** A statement inside a transaction. */
+export interface PinnedStatement {
+  readonly id: string;
+  readonly command: MemberCommand;
+  readonly access: StatementAccess | 'commit';
+  readonly prepared?: PreparedStatement | undefined;
+  readonly values: SessionValues;
+  readonly deadline: number;
+}
+
+/** A transaction that holds a member connection until it ends. */
+export class OpenTransaction {
+  private state: 'open' | 'ended' = 'open';
+
+  constructor(
+    /** The route's group and time limit as they were when it began. */
+    readonly statementTimeoutMs: number,
+    private readonly lease: Lease,
+    private readonly database: DatabaseTask,
+    private readonly clock: Clock,
+  ) {}
+
+  /** Runs a statement; after a failure the transaction has ended. */
+  async run(
+    statement: PinnedStatement,
+  ): Promise<Result<MemberAnswer, SessionRefusal>> {
+    const {id, command, prepared, values, deadline, access} = statement;
+    const result = await this.send({id, command, prepared, values, deadline});
+    const validity = await ask<LeaseValidity>(reply =>
+      this.database.tell({kind: 'confirm', lease: this.lease, reply}),
+    );
+    if (result.ok && validity === 'valid') {
+      if (access === 'commit') this.end();
+      return ok(result.value.answer);
+    }
+    const fault: JobFault = result.ok
+      ? {failure: 'no-answer', detail: 'the member may have been replaced'}
+      : result.err;
+    this.abandon();
+    const effect = access === 'write' ? 'write-in-transaction' : access;
+    return fail(concludeFault(effect, 'pinned', fault).refusal);
+  }
+
+  /** Rolls back and returns the connection for further use. */
+  async rollback(values: SessionValues): Promise<void> {
+    if (this.state === 'ended') return;
+    this.state = 'ended';
+    const result = await this.send({
+      command: {kind: 'rollback'},
+      values,
+      deadline: this.clock() + ROLLBACK_TIMEOUT_MS,
+    });
+    if (!result.ok) this.lease.connection.tell({kind: 'close'});
+    this.database.tell({kind: 'release', lease: this.lease});
+  }
+
+  /** The log position that the transaction's member reported last. */
+  positionOf(answer: MemberAnswer): LogPosition | undefined {
+    return answer.applied;
+  }
+
+  private abandon(): void {
+    this.lease.connection.tell({kind: 'close'});
+    this.end();
+  }
+
+  private end(): void {
+    if (this.state === 'ended') return;
+    this.state = 'ended';
+    this.database.tell({kind: 'release', lease: this.lease});
+  }
+
+  private send(job: {
+    id?: string;
+    command: MemberCommand;
+    prepared?: PreparedStatement | undefined;
+    values: SessionValues;
+    deadline: number;
+  }): Promise<JobResult> {
+    const {id, command, prepared, values, deadline} = job;
+    return ask(reply =>
+      this.lease.connection.tell({
+        kind: 'run',
+        job: {values, prepared, request: {id, command}, deadline},
+        reply,
+      }),
+    );
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/session/place_filter.ts
@@ -0,0 +1,283 @@
+import {Filter, fail, ok} from '@pistachiorill/core';
+import type {Result, StatementEffect} from '@pistachiorill/core';
+import {ask} from '@pistachiorill/tasks';
+import type {Clock} from '@pistachiorill/tasks';
+import type {Logger} from '@pistachiorill/telemetry';
+import type {LeaseValidity} from '../database/database_message.js';
+import type {DatabaseTask} from '../database/database_task.js';
+import type {Lease, LeaseNeed, LeaseRefusal} from '../database/lease.js';
+import type {JobFault, JobResult} from '../database/member_connection.js';
+import type {SessionRefusal} from '../ports/caller_link.js';
+import type {MemberAnswer} from '../ports/member_link.js';
+import {busy, concludeFault} from './conclude_fault.js';
+import type {RoutedStatement} from './session_statement.js';
+
+/** Members that one statement is tried on. */
+const MAX_ATTEMPTS = 4;
+/** Attempts of one statement that a member without a free connection ends. */
+const MAX_FULL_ATTEMPTS = 10;
+/** A read is sent to a second member when the first takes this much longer. */
+const HEDGE_MIN_MS = 70;
+const HEDGE_TARGET_SHARE = 0.45;
+/** The wait for a connection, in parts of the latency target. */
+const LEASE_WAIT_SHARE = 0.9;
+/** How long a statement waits for a new primary. */
+const MOVE_WAIT_MS = 600;
+/** What remains of the statement's time when a wait for a primary ends. */
+const RUN_RESERVE_MS = 100;
+
+/** A member's answer, with the lease that a transaction keeps. */
+export interface PlacedAnswer {
+  readonly answer: MemberAnswer;
+  readonly lease: Lease;
+}
+
+export interface PlaceTools {
+  readonly database: (group: string) => DatabaseTask | undefined;
+  readonly clock: Clock;
+  readonly log: Logger;
+}
+
+/** An attempt that did not lead to a result. */
+interface FailedPlacement {
+  readonly conclusion: 'retry' | 'final';
+  readonly refusal: SessionRefusal;
+  readonly member?: string | undefined;
+  readonly cause?: 'member-full' | 'other';
+}
+
+type Placement = Result<PlacedAnswer, FailedPlacement>;
+
+/**
+ * Runs a statement, or the first statement of a transaction, on a member. It
+ * is tried on further members as long as nothing of it can have been kept.
+ */
+export class PlaceFilter extends Filter<
+  RoutedStatement,
+  PlacedAnswer,
+  SessionRefusal
+> {
+  override readonly name = 'place';
+
+  constructor(private readonly tools: PlaceTools) {
+    super();
+  }
+
+  override async run(
+    statement: RoutedStatement,
+  ): Promise<Result<PlacedAnswer, SessionRefusal>> {
+    const avoid: string[] = [];
+    let last: FailedPlacement | undefined;
+    let full = 0;
+    for (let attempt = 1; attempt - full <= MAX_ATTEMPTS; attempt++) {
+      const placed = await this.attempt(statement, avoid);
+      if (placed.ok) return placed;
+      last = placed.err;
+      this.logFailure(statement, last, attempt);
+      if (last.conclusion === 'final' || last.member === undefined) break;
+      if (this.tools.clock() >= statement.deadline - RUN_RESERVE_MS) break;
+      if (last.cause !== 'member-full') avoid.push(last.member);
+      else if (++full > MAX_FULL_ATTEMPTS) break;
+    }
+    return fail(
+      last?.refusal ?? {kind: 'busy', detail: 'no attempt', retryAfterMs: 50},
+    );
+  }
+
+  /** One attempt, and for a read that takes long a second one beside it. */
+  private async attempt(
+    statement: RoutedStatement,
+    avoid: readonly string[],
+  ): Promise<Placement> {
+    const first = this.runOnce(statement, avoid);
+    if (statement.access !== 'read' || statement.begin !== undefined) {
+      return first.done;
+    }
+    const {targetMs} = statement.route;
+    const hedgeMs = Math.max(HEDGE_MIN_MS, targetMs * HEDGE_TARGET_SHARE);
+    const winner = await Promise.race([first.done, delay(hedgeMs)]);
+    if (winner !== undefined) return winner;
+    const member = first.member();
+    if (member === undefined) return first.done;
+    const second = this.runOnce(statement, [...avoid, member]);
+    return firstSuccess(first.done, second.done);
+  }
+
+  private runOnce(
+    statement: RoutedStatement,
+    avoid: readonly string[],
+  ): {done: Promise<Placement>; member: () => string | undefined} {
+    let member: string | undefined;
+    const run = async (): Promise<Placement> => {
+      const database = this.tools.database(statement.route.group);
+      if (!database) {
+        return fail({
+          conclusion: 'final',
+          refusal: busy('the group is not known', 100),
+        });
+      }
+      const leased = await this.lease(database, statement, avoid);
+      if (!leased.ok) {
+        return fail({
+          conclusion: 'final',
+          refusal: busy(leased.err.detail, leased.err.retryAfterMs),
+        });
+      }
+      member = leased.value.member;
+      return this.execute(database, leased.value, statement);
+    };
+    return {done: run(), member: () => member};
+  }
+
+  private lease(
+    database: DatabaseTask,
+    statement: RoutedStatement,
+    avoid: readonly string[],
+  ): Promise<Result<Lease, LeaseRefusal>> {
+    const {route, workspace, values, regions, deadline} = statement;
+    const need = needOf(statement);
+    const now = this.tools.clock();
+    const waitMs = Math.max(
+      route.targetMs * LEASE_WAIT_SHARE,
+      need.kind === 'primary' ? MOVE_WAIT_MS : 0,
+    );
+    const until = Math.min(now + waitMs, deadline - RUN_RESERVE_MS);
+    return ask(reply =>
+      database.tell({
+        kind: 'lease',
+        request: {
+          workspace,
+          values,
+          use: statement.begin === undefined ? 'statement' : 'transaction',
+          need,
+          // The only primary is tried again after it refused.
+          avoid: need.kind === 'primary' && avoid.length <= 1 ? [] : avoid,
+          regions,
+          until,
+        },
+        reply,
+      }),
+    );
+  }
+
+  private async execute(
+    database: DatabaseTask,
+    lease: Lease,
+    statement: RoutedStatement,
+  ): Promise<Placement> {
+    const {id, command, prepared, begin, values, deadline} = statement;
+    const result = await ask<JobResult>(reply =>
+      lease.connection.tell({
+        kind: 'run',
+        job: {
+          values,
+          prepared,
+          begin,
+          after: lease.after,
+          request: {id, command},
+          deadline,
+        },
+        reply,
+      }),
+    );
+    const validity = await ask<LeaseValidity>(reply =>
+      database.tell({kind: 'confirm', lease, reply}),
+    );
+    const keep = begin !== undefined && result.ok;
+    if (!keep || validity === 'expired') this.release(database, lease, begin);
+    if (!result.ok) return this.failed(database, lease, statement, result.err);
+    if (validity === 'expired') {
+      const detail = 'the member may have been replaced meanwhile';
+      return this.failed(database, lease, statement, {
+        failure: 'no-answer',
+        detail,
+      });
+    }
+    return ok({answer: result.value.answer, lease});
+  }
+
+  private release(
+    database: DatabaseTask,
+    lease: Lease,
+    begin: RoutedStatement['begin'],
+  ): void {
+    if (begin !== undefined) lease.connection.tell({kind: 'close'});
+    database.tell({kind: 'release', lease});
+  }
+
+  private failed(
+    database: DatabaseTask,
+    lease: Lease,
+    statement: RoutedStatement,
+    fault: JobFault,
+  ): Placement {
+    const {member} = lease;
+    if (fault.failure === 'behind') {
+      database.tell({kind: 'behind', member, applied: fault.applied});
+    }
+    if (fault.failure === 'not-primary' && lease.role === 'primary') {
+      database.tell({kind: 'not-primary', member});
+    }
+    const {conclusion, refusal} = concludeFault(
+      effectOf(statement),
+      'first',
+      fault,
+    );
+    const cause =
+      fault.error?.kind === 'too-many-connections' ? 'member-full' : 'other';
+    return fail({conclusion, refusal, member, cause});
+  }
+
+  private logFailure(
+    statement: RoutedStatement,
+    {conclusion, refusal, member}: FailedPlacement,
+    attempt: number,
+  ): void {
+    this.tools.log.info(
+      {
+        event: 'statement.attempt-failed',
+        request: statement.id,
+        group: statement.route.group,
+        member,
+        attempt,
+        conclusion,
+        refusal,
+        elapsedMs: Math.round(this.tools.clock() - statement.receivedAt),
+      },
+      'attempt failed',
+    );
+  }
+}
+
+function effectOf({access, begin}: RoutedStatement): StatementEffect {
+  if (access === 'commit') return 'commit';
+  if (access === 'read') return 'read';
+  return begin === undefined ? 'write' : 'write-in-transaction';
+}
+
+function needOf({route, access, begin, seen}: RoutedStatement): LeaseNeed {
+  const isRead = begin === undefined ? access === 'read' : begin === 'read';
+  if (!isRead || route.consistency === 'strict') return {kind: 'primary'};
+  return {
+    kind: 'recent',
+    maxAgeMs: route.maxAgeMs,
+    seen: route.consistency === 'own-writes' ? seen : undefined,
+  };
+}
+
+function delay(ms: number): Promise<undefined> {
+  return new Promise(resolve => {
+    setTimeout(resolve, ms, undefined);
+  });
+}
+
+/** The first placement that succeeds, or else the last that fails. */
+async function firstSuccess(
+  a: Promise<Placement>,
+  b: Promise<Placement>,
+): Promise<Placement> {
+  const first = await Promise.race([a, b]);
+  if (first.ok) return first;
+  const [one, two] = await Promise.all([a, b]);
+  return one.ok ? one : two.ok ? two : one;
+}
--- /dev/null
+++ b/packages/gateway/src/session/route_filter.ts
@@ -0,0 +1,74 @@
+import {Filter, fail, ok} from '@pistachiorill/core';
+import type {Result, ServedConfiguration} from '@pistachiorill/core';
+import type {SessionRefusal} from '../ports/caller_link.js';
+import {ANONYMOUS} from './session_statement.js';
+import type {ReceivedStatement, RoutedStatement} from './session_statement.js';
+
+/** How soon a VM without a configuration may be tried again. */
+const RETRY_STARTING_MS = 500;
+
+/** Who a key stands for, under the present configuration. */
+export function findCaller(
+  configuration: ServedConfiguration | undefined,
+  database: string,
+  key: string,
+): Result<
+  Pick<RoutedStatement, 'route' | 'workspace' | 'caller' | 'regions'>,
+  SessionRefusal
+> {
+  if (!configuration) {
+    const detail = 'this VM has no configuration yet';
+    return fail({kind: 'busy', detail, retryAfterMs: RETRY_STARTING_MS});
+  }
+  const route = configuration.routes.get(database);
+  if (!route) return fail({kind: 'unknown-database', detail: database});
+  const name = configuration.keys.get(key);
+  const workspace =
+    name === undefined ? undefined : configuration.workspaces.get(name);
+  if (!workspace) {
+    if (route.audience === 'keyed') {
+      return fail({kind: 'bad-key', detail: 'the key is unknown or withdrawn'});
+    }
+    const {regions} = route;
+    return ok({route, workspace: ANONYMOUS, caller: 'anonymous', regions});
+  }
+  return ok({
+    route,
+    workspace: workspace.name,
+    caller: 'keyed',
+    regions: commonRegions(route.regions, workspace.regions),
+  });
+}
+
+/** Where both are confined, both bind. An empty list confines nothing. */
+function commonRegions(
+  a: readonly string[],
+  b: readonly string[],
+): readonly string[] {
+  if (a.length === 0) return b;
+  if (b.length === 0) return a;
+  const common = a.filter(region => b.includes(region));
+  return common.length > 0 ? common : ['none'];
+}
+
+/** Looks up a statement's route and checks its key anew. */
+export class RouteFilter extends Filter<
+  ReceivedStatement,
+  RoutedStatement,
+  SessionRefusal
+> {
+  override readonly name = 'route';
+
+  override run(
+    statement: ReceivedStatement,
+  ): Result<RoutedStatement, SessionRefusal> {
+    const {configuration, database, key, receivedAt} = statement;
+    const found = findCaller(configuration, database, key);
+    if (!found.ok) return found;
+    return ok({
+      ...statement,
+      ...found.value,
+      deadline: receivedAt + found.value.route.statementTimeoutMs,
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/session/session_task.ts
@@ -0,0 +1,417 @@
+import {fail, ok} from '@pistachiorill/core';
+import type {
+  LogPosition,
+  PreparedStatement,
+  Result,
+  ServedConfiguration,
+  StatementAccess,
+} from '@pistachiorill/core';
+import {Task} from '@pistachiorill/tasks';
+import type {Clock, Pipeline} from '@pistachiorill/tasks';
+import type {Logger} from '@pistachiorill/telemetry';
+import type {DatabaseTask} from '../database/database_task.js';
+import type {
+  CallerEvent,
+  CallerLink,
+  CallerStatement,
+  SessionRefusal,
+  SessionReply,
+} from '../ports/caller_link.js';
+import type {MemberAnswer, MemberCommand} from '../ports/member_link.js';
+import type {GatewayMetrics} from '../telemetry/gateway_metrics.js';
+import {OpenTransaction} from './open_transaction.js';
+import type {PlacedAnswer} from './place_filter.js';
+import {findCaller} from './route_filter.js';
+import type {ReceivedStatement, RoutedStatement} from './session_statement.js';
+
+export type SessionMessage =
+  | {
+      readonly kind: 'event';
+      readonly event: CallerEvent;
+      readonly receivedAt: number;
+    }
+  /** The configuration changed. */
+  | {readonly kind: 'reconfigured'}
+  /** The VM stops: sessions end when they hold no transaction. */
+  | {readonly kind: 'drain'}
+  /** Open transactions end now. */
+  | {readonly kind: 'abort-transaction'}
+  | {readonly kind: 'transaction-idle'};
+
+export interface SessionTools {
+  readonly admit: Pipeline<ReceivedStatement, RoutedStatement, SessionRefusal>;
+  readonly place: Pipeline<RoutedStatement, PlacedAnswer, SessionRefusal>;
+  readonly database: (group: string) => DatabaseTask | undefined;
+  readonly configuration: () => ServedConfiguration | undefined;
+  /** Returns the token of an operation that was not run. */
+  readonly refund: (workspace: string) => void;
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly metrics: GatewayMetrics;
+}
+
+type SessionTransaction =
+  | {readonly kind: 'none'}
+  /** Begun by the caller; its first statement chooses the member. */
+  | {readonly kind: 'begun'; readonly access: StatementAccess}
+  | {readonly kind: 'open'; readonly transaction: OpenTransaction}
+  | {readonly kind: 'failed'};
+
+const LOCAL: SessionReply = {kind: 'local'};
+
+/** Owns one caller's session: its values, statements and transaction. */
+export class SessionTask extends Task<SessionMessage> {
+  private database = '';
+  private key = '';
+  private phase: 'new' | 'open' | 'draining' | 'closed' = 'new';
+  private readonly values = new Map<string, string>();
+  private readonly prepared = new Map<string, PreparedStatement>();
+  private transaction: SessionTransaction = {kind: 'none'};
+  private seen: LogPosition | undefined;
+  private idleTimer: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly link: CallerLink,
+    private readonly tools: SessionTools,
+    private readonly onEnded: () => void,
+  ) {
+    super();
+  }
+
+  protected override async handle(message: SessionMessage): Promise<void> {
+    if (this.phase === 'closed') return;
+    switch (message.kind) {
+      case 'event':
+        await this.event(message.event, message.receivedAt);
+        return;
+      case 'reconfigured':
+        await this.reconfigured();
+        return;
+      case 'drain':
+        this.phase = 'draining';
+        this.closeIfIdle();
+        return;
+      case 'abort-transaction':
+      case 'transaction-idle':
+        await this.failTransaction();
+        return;
+    }
+  }
+
+  protected override onFailure(err: unknown): void {
+    this.tools.log.error({event: 'session.failed', err}, 'session failed');
+    this.link.close();
+    this.end();
+  }
+
+  private async event(event: CallerEvent, receivedAt: number): Promise<void> {
+    switch (event.kind) {
+      case 'open':
+        this.open(event.database, event.key);
+        return;
+      case 'statement':
+        clearTimeout(this.idleTimer);
+        await this.statement(event.id, event.statement, receivedAt);
+        this.watchTransaction();
+        if (this.phase === 'draining') this.closeIfIdle();
+        return;
+      case 'malformed':
+        this.refuse(event.id, {kind: 'malformed', detail: event.detail});
+        return;
+      case 'too-large':
+        this.refuse('', {kind: 'too-large', detail: 'message over 1 MiB'});
+        this.link.close();
+        await this.ended();
+        return;
+      case 'ended':
+        await this.ended();
+        return;
+    }
+  }
+
+  private open(database: string, key: string): void {
+    const found = findCaller(this.tools.configuration(), database, key);
+    if (!found.ok) {
+      this.tools.metrics.refused(found.err.kind);
+      this.tools.log.info(
+        {event: 'session.refused', database, refusal: found.err},
+        'session refused',
+      );
+      this.link.reject(found.err);
+      this.end();
+      return;
+    }
+    this.database = database;
+    this.key = key;
+    this.phase = this.phase === 'draining' ? 'draining' : 'open';
+    this.link.accept();
+  }
+
+  private async statement(
+    id: string,
+    statement: CallerStatement,
+    receivedAt: number,
+  ): Promise<void> {
+    if (this.transaction.kind === 'failed') {
+      this.statementAfterFailure(id, statement);
+      return;
+    }
+    switch (statement.kind) {
+      case 'set':
+        this.values.set(statement.name, statement.value);
+        this.reply(LOCAL);
+        return;
+      case 'prepare':
+        this.prepared.set(statement.name, statement.statement);
+        this.reply(LOCAL);
+        return;
+      case 'deallocate':
+        this.deallocate(id, statement.name);
+        return;
+      case 'begin':
+        this.begin(id, statement.access);
+        return;
+      case 'rollback':
+        await this.rollback();
+        return;
+      case 'commit':
+        await this.run(id, {kind: 'commit'}, 'commit', undefined, receivedAt);
+        return;
+      case 'statement': {
+        const {access, text} = statement;
+        const command: MemberCommand = {kind: 'statement', text};
+        await this.run(id, command, access, undefined, receivedAt);
+        return;
+      }
+      case 'execute':
+        await this.execute(id, statement, receivedAt);
+        return;
+    }
+  }
+
+  /** Ends a failed transaction; all other statements are refused until then. */
+  private statementAfterFailure(id: string, statement: CallerStatement): void {
+    if (statement.kind === 'rollback') {
+      this.transaction = {kind: 'none'};
+      this.reply(LOCAL);
+      return;
+    }
+    if (statement.kind === 'commit') {
+      this.transaction = {kind: 'none'};
+      const detail = 'the transaction was rolled back';
+      this.refuse(id, {kind: 'aborted', detail});
+      return;
+    }
+    const detail = 'the transaction has failed';
+    this.refuse(id, {kind: 'malformed', detail});
+  }
+
+  private deallocate(id: string, name: string): void {
+    if (!this.prepared.delete(name)) {
+      this.refuse(id, {kind: 'unknown-statement', detail: name});
+      return;
+    }
+    this.reply(LOCAL);
+  }
+
+  private begin(id: string, access: StatementAccess): void {
+    if (this.transaction.kind !== 'none') {
+      const detail = 'a transaction is open';
+      this.refuse(id, {kind: 'malformed', detail});
+      return;
+    }
+    this.transaction = {kind: 'begun', access};
+    this.reply(LOCAL);
+  }
+
+  private async rollback(): Promise<void> {
+    const {transaction} = this;
+    this.transaction = {kind: 'none'};
+    this.reply(LOCAL);
+    if (transaction.kind !== 'open') return;
+    await transaction.transaction.rollback(this.values);
+  }
+
+  private async execute(
+    id: string,
+    {name, parameters}: Extract<CallerStatement, {kind: 'execute'}>,
+    receivedAt: number,
+  ): Promise<void> {
+    const prepared = this.prepared.get(name);
+    if (!prepared) {
+      this.refuse(id, {kind: 'unknown-statement', detail: name});
+      return;
+    }
+    const command: MemberCommand = {kind: 'execute', name, parameters};
+    await this.run(id, command, prepared.access, prepared, receivedAt);
+  }
+
+  private async run(
+    id: string,
+    command: MemberCommand,
+    access: StatementAccess | 'commit',
+    prepared: PreparedStatement | undefined,
+    receivedAt: number,
+  ): Promise<void> {
+    const {transaction} = this;
+    if (access === 'commit' && transaction.kind === 'none') {
+      this.refuse(id, {kind: 'malformed', detail: 'no transaction is open'});
+      return;
+    }
+    const result =
+      transaction.kind === 'open'
+        ? await transaction.transaction.run({
+            id,
+            command,
+            access,
+            prepared,
+            values: this.values,
+            deadline: receivedAt + transaction.transaction.statementTimeoutMs,
+          })
+        : await this.runFirst(id, command, access, prepared, receivedAt);
+    if (!result.ok) {
+      const inTransaction = transaction.kind !== 'none' && access !== 'commit';
+      this.transaction = {kind: inTransaction ? 'failed' : 'none'};
+      this.refuse(id, result.err);
+      return;
+    }
+    const answer = result.value;
+    const isCommit = access === 'commit';
+    if (isCommit) this.transaction = {kind: 'none'};
+    const changed =
+      isCommit || (access === 'write' && transaction.kind === 'none');
+    if (changed && answer.applied) this.seen = answer.applied;
+    this.tools.metrics.answered(access, this.tools.clock() - receivedAt);
+    this.reply({kind: 'member', answer}, answer.applied);
+  }
+
+  /** Runs a statement alone, or the first one of a transaction. */
+  private async runFirst(
+    id: string,
+    command: MemberCommand,
+    access: StatementAccess | 'commit',
+    prepared: PreparedStatement | undefined,
+    receivedAt: number,
+  ): Promise<Result<MemberAnswer, SessionRefusal>> {
+    const {transaction} = this;
+    const begin = transaction.kind === 'begun' ? transaction.access : undefined;
+    const admitted = await this.tools.admit.run({
+      id,
+      database: this.database,
+      key: this.key,
+      receivedAt,
+      command,
+      access,
+      prepared,
+      begin,
+      values: new Map(this.values),
+      seen: this.seen,
+      configuration: this.tools.configuration(),
+    });
+    if (!admitted.ok) return admitted;
+    const placed = await this.tools.place.run(admitted.value);
+    if (!placed.ok) {
+      const {workspace, caller} = admitted.value;
+      if (placed.err.kind === 'busy' && caller === 'keyed') {
+        this.tools.refund(workspace);
+      }
+      return placed;
+    }
+    const {lease, answer} = placed.value;
+    const {group, statementTimeoutMs} = admitted.value.route;
+    const database = this.tools.database(group);
+    if (begin === undefined) return ok(answer);
+    if (!database) {
+      lease.connection.tell({kind: 'close'});
+      return fail({kind: 'aborted', detail: 'the group is no longer served'});
+    }
+    if (access === 'commit') {
+      database.tell({kind: 'release', lease});
+      return ok(answer);
+    }
+    this.transaction = {
+      kind: 'open',
+      transaction: new OpenTransaction(
+        statementTimeoutMs,
+        lease,
+        database,
+        this.tools.clock,
+      ),
+    };
+    return ok(answer);
+  }
+
+  private reply(reply: SessionReply, position?: LogPosition): void {
+    const {kind} = this.transaction;
+    const transaction =
+      kind === 'none' ? 'none' : kind === 'failed' ? 'failed' : 'open';
+    this.link.reply(reply, transaction, position);
+  }
+
+  private refuse(id: string, refusal: SessionRefusal): void {
+    this.tools.metrics.refused(refusal.kind);
+    this.tools.log.info(
+      {
+        event: 'statement.refused',
+        request: id,
+        database: this.database,
+        configuration: this.tools.configuration()?.version,
+        refusal,
+      },
+      'statement refused',
+    );
+    this.reply({kind: 'refused', refusal});
+  }
+
+  /** Ends what a withdrawn key or a removed route no longer allows. */
+  private async reconfigured(): Promise<void> {
+    if (this.phase === 'new') return;
+    const configuration = this.tools.configuration();
+    const found = findCaller(configuration, this.database, this.key);
+    if (found.ok) return;
+    await this.failTransaction();
+    if (this.transaction.kind !== 'none') return;
+    this.link.close();
+    await this.ended();
+  }
+
+  private async failTransaction(): Promise<void> {
+    const {transaction} = this;
+    if (transaction.kind === 'none' || transaction.kind === 'failed') return;
+    this.transaction = {kind: 'failed'};
+    if (transaction.kind !== 'open') return;
+    await transaction.transaction.rollback(this.values);
+  }
+
+  /** A transaction that its caller leaves idle holds a scarce connection. */
+  private watchTransaction(): void {
+    clearTimeout(this.idleTimer);
+    if (this.transaction.kind !== 'open' || this.phase === 'closed') return;
+    const idleMs = this.tools.configuration()?.transactionIdleMs ?? 0;
+    if (idleMs <= 0) return;
+    this.idleTimer = setTimeout(
+      () => this.tell({kind: 'transaction-idle'}),
+      idleMs,
+    );
+  }
+
+  private closeIfIdle(): void {
+    if (this.transaction.kind !== 'none') return;
+    this.link.close();
+    this.end();
+  }
+
+  private async ended(): Promise<void> {
+    const {transaction} = this;
+    this.end();
+    if (transaction.kind !== 'open') return;
+    await transaction.transaction.rollback(this.values);
+  }
+
+  private end(): void {
+    if (this.phase === 'closed') return;
+    this.phase = 'closed';
+    clearTimeout(this.idleTimer);
+    this.onEnded();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/telemetry/gateway_metrics.ts
@@ -0,0 +1,53 @@
+import {Counter, Histogram, Registry} from 'prom-client';
+
+const BUCKETS_S = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 2, 6];
+
+/** Counters and latencies of one VM. */
+export class GatewayMetrics {
+  readonly registry = new Registry();
+
+  private readonly statementSeconds = new Histogram({
+    name: 'pistachiorill_gateway_statement_seconds',
+    help: 'Time from the arrival of a statement to its answer.',
+    labelNames: ['access'],
+    buckets: BUCKETS_S,
+    registers: [this.registry],
+  });
+
+  private readonly refusals = new Counter({
+    name: 'pistachiorill_gateway_refusals_total',
+    help: 'Statements and sessions that were refused, by reason.',
+    labelNames: ['reason'],
+    registers: [this.registry],
+  });
+
+  private readonly changes = new Counter({
+    name: 'pistachiorill_gateway_primary_changes_total',
+    help: 'Changes of primary that this VM carried out, by outcome.',
+    labelNames: ['outcome'],
+    registers: [this.registry],
+  });
+
+  private readonly storeFailures = new Counter({
+    name: 'pistachiorill_gateway_store_failures_total',
+    help: 'Calls to the store without a usable answer, by call.',
+    labelNames: ['call'],
+    registers: [this.registry],
+  });
+
+  answered(access: string, tookMs: number): void {
+    this.statementSeconds.observe({access}, tookMs / 1_000);
+  }
+
+  refused(reason: string): void {
+    this.refusals.inc({reason});
+  }
+
+  primaryChanged(outcome: string): void {
+    this.changes.inc({outcome});
+  }
+
+  storeFailed(call: string): void {
+    this.storeFailures.inc({call});
+  }
+}
--- a/packages/launcher/src/__tests__/configuration.test.ts
+++ b/packages/launcher/src/__tests__/configuration.test.ts
@@ -1,6 +1,6 @@
 import {createConnection} from 'mysql2/promise';
 import {fileURLToPath} from 'node:url';
-import type {VmStatus} from '@pistachiorill/platform';
+import type {VmStatus} from '@pistachiorill/store';
 import {afterAll, beforeAll, describe, expect, it} from 'vitest';
 import {Fleet} from '../fleet.js';
 import type {RunningVm} from '../fleet.js';
--- a/packages/launcher/src/__tests__/shares.test.ts
+++ b/packages/launcher/src/__tests__/shares.test.ts
@@ -1,6 +1,6 @@
 import {fileURLToPath} from 'node:url';
 import {ledgerKey, parseLedger} from '@pistachiorill/core';
-import {HttpTableService} from '@pistachiorill/platform';
+import {HttpTableService} from '@pistachiorill/store';
 import {afterAll, beforeAll, describe, expect, it} from 'vitest';
 import {Fleet} from '../fleet.js';
 import {AUTHORITY} from '../profile.js';
--- a/packages/launcher/src/fleet.ts
+++ b/packages/launcher/src/fleet.ts
@@ -12,7 +12,7 @@
   HttpTableService,
   NoVmReports,
   promoteDocument,
-} from '@pistachiorill/platform';
+} from '@pistachiorill/store';
 import {Child} from './child.js';
 import {findFreePorts} from './free_ports.js';
 import type {Profile} from './profile.js';
--- a/packages/peers/src/__tests__/peer_client.test.ts
+++ b/packages/peers/src/__tests__/peer_client.test.ts
@@ -4,6 +4,7 @@
 import {PeerClient} from '../peer_client.js';
 import {PeerHandlers} from '../peer_handlers.js';
 import {PeerServer} from '../peer_server.js';
+import {servedPeers} from '../served_peers.js';
 
 class FakeHandlers extends PeerHandlers {
   override probe = async (gossip: Parameters<PeerHandlers['probe']>[0]) =>
@@ -70,7 +71,9 @@
   it('separates what was never sent from what has no answer', async () => {
     const port = await closedPort();
     const faults: unknown[] = [];
-    const server = new PeerServer(new FakeHandlers(), e => faults.push(e));
+    const server = new PeerServer(servedPeers(new FakeHandlers()), e =>
+      faults.push(e),
+    );
     await server.listen(`127.0.0.1:${port}`);
     closers.push(() => server.close());
     const aborted = new AbortController();
--- /dev/null
+++ b/packages/peers/src/call_peer.ts
@@ -0,0 +1,52 @@
+import {fail, ok} from '@pistachiorill/core';
+import type {Result} from '@pistachiorill/core';
+import {TRPCClientError} from '@trpc/client';
+import {TransportError} from './http_call.js';
+import type {PeerError} from './peer_error.js';
+
+/** How long a call waits, and what may end it earlier. */
+export interface CallOptions {
+  readonly timeoutMs: number;
+  readonly signal?: AbortSignal;
+}
+
+/** The options of one call as the link reads them. */
+interface LinkOptions {
+  readonly context: {readonly timeoutMs: number};
+  readonly signal?: AbortSignal;
+}
+
+/** Makes one call and turns its exceptions into errors of this layer. */
+export async function callPeer<T>(
+  {timeoutMs, signal}: CallOptions,
+  send: (options: LinkOptions) => Promise<T>,
+): Promise<Result<T, PeerError>> {
+  const context = {timeoutMs: Math.max(1, timeoutMs)};
+  try {
+    return ok(await send({context, ...(signal ? {signal} : {})}));
+  } catch (err) {
+    return fail(toPeerError(err));
+  }
+}
+
+/** Errors of requests that reached no handler. */
+const REJECTED_CODES = new Set([
+  'BAD_REQUEST',
+  'NOT_FOUND',
+  'PARSE_ERROR',
+  'PAYLOAD_TOO_LARGE',
+]);
+
+function toPeerError(err: unknown): PeerError {
+  if (!(err instanceof TRPCClientError)) {
+    return {kind: 'no-answer', detail: String(err)};
+  }
+  const {cause} = err;
+  if (cause instanceof TransportError) {
+    return {kind: cause.kind, detail: cause.message};
+  }
+  const code = (err.data as {code?: string} | undefined)?.code;
+  return code !== undefined && REJECTED_CODES.has(code)
+    ? {kind: 'rejected', detail: `${code}: ${err.message}`}
+    : {kind: 'no-answer', detail: err.message};
+}
--- a/packages/peers/src/http_adapter.ts
+++ b/packages/peers/src/http_adapter.ts
@@ -6,9 +6,8 @@
   getTRPCErrorFromUnknown,
 } from '@trpc/server';
 import {getHTTPStatusCodeFromError} from '@trpc/server/http';
+import type {AnyRouter} from '@trpc/server';
 import {TRPC_ERROR_CODES_BY_KEY} from '@trpc/server/rpc';
-import type {PeerHandlers} from './peer_handlers.js';
-import {PEER_ROUTER} from './peer_router.js';
 
 /** Larger than any statement that a VM accepts, in its JSON form. */
 const MAX_BODY_BYTES = 16 * 1_048_576;
@@ -18,18 +17,24 @@
   readonly body: string;
 }
 
+/** The procedures that a server offers, and what they work on. */
+export interface ServedRouter {
+  readonly router: AnyRouter;
+  readonly context: object;
+}
+
 /**
- * Serves the router over `node:http`. The standalone adapter of tRPC passes
+ * Serves a router over `node:http`. The standalone adapter of tRPC passes
  * each request through a web `Request` and streams, which takes about 1.5 ms of
  * CPU time more for each call.
  */
 export function createPeerHttpServer(
-  handlers: PeerHandlers,
+  served: ServedRouter,
   onFault: (err: unknown) => void,
 ): Server {
   return createServer((req, res) => {
     readBody(req)
-      .then(body => call(handlers, req, body))
+      .then(body => call(served, req, body))
       .catch(err => errorAnswer(err, onFault))
       .then(answer => send(res, answer))
       .catch(onFault);
@@ -55,16 +60,16 @@
 }
 
 async function call(
-  handlers: PeerHandlers,
+  {router, context}: ServedRouter,
   req: IncomingMessage,
   body: string,
 ): Promise<Answer> {
   const data = await callTRPCProcedure({
-    router: PEER_ROUTER,
+    router,
     path: (req.url ?? '').slice(1),
     type: 'mutation',
     getRawInput: async () => parseInput(body),
-    ctx: {handlers},
+    ctx: context,
     signal: undefined,
     batchIndex: 0,
   });
--- a/packages/peers/src/http_call.ts
+++ b/packages/peers/src/http_call.ts
@@ -11,8 +11,10 @@
   }
 }
 
-/** One request to another VM. */
+/** One request over HTTP. */
 export interface HttpCall {
+  readonly method?: 'GET' | 'POST';
+  readonly headers?: Readonly<Record<string, string>>;
   readonly agent: Agent;
   readonly host: string;
   readonly port: number;
@@ -22,11 +24,21 @@
   readonly signal: AbortSignal | undefined;
 }
 
+export interface HttpAnswer {
+  readonly status: number;
+  readonly body: string;
+}
+
+/** Posts a body and returns the body of the answer. */
+export async function httpCall(call: HttpCall): Promise<string> {
+  return (await httpExchange(call)).body;
+}
+
 /**
- * Posts a body and returns the body of the answer. The built-in `fetch` does
+ * Sends a request and returns the answer. The built-in `fetch` does
  * not tell whether a request was sent before it failed.
  */
-export function httpCall(call: HttpCall): Promise<string> {
+export function httpExchange(call: HttpCall): Promise<HttpAnswer> {
   return new Promise((resolve, reject) => {
     let connection: 'opening' | 'open' = 'opening';
     const req = request({
@@ -34,8 +46,9 @@
       host: call.host,
       port: call.port,
       path: call.path,
-      method: 'POST',
+      method: call.method ?? 'POST',
       headers: {
+        ...call.headers,
         'content-type': 'application/json',
         'content-length': Buffer.byteLength(call.body),
       },
@@ -73,7 +86,10 @@
       res.on('error', failWith);
       res.on('end', () => {
         finish();
-        resolve(Buffer.concat(chunks).toString());
+        resolve({
+          status: res.statusCode ?? 0,
+          body: Buffer.concat(chunks).toString(),
+        });
       });
     });
     req.end(call.body);
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -1,6 +1,12 @@
 /** tRPC between the VMs. */
 export {PeerClient} from './peer_client.js';
-export type {CallOptions} from './peer_client.js';
+export {callPeer} from './call_peer.js';
+export type {CallOptions} from './call_peer.js';
+export type {ServedRouter} from './http_adapter.js';
+export {TransportError, httpExchange} from './http_call.js';
+export type {HttpAnswer} from './http_call.js';
+export {peerLink} from './peer_link.js';
+export {servedPeers} from './served_peers.js';
 export type {PeerError} from './peer_error.js';
 export {PeerHandlers} from './peer_handlers.js';
 export type {PeerRouter} from './peer_router.js';
--- a/packages/peers/src/peer_client.ts
+++ b/packages/peers/src/peer_client.ts
@@ -1,9 +1,9 @@
 import {Agent} from 'node:http';
-import {fail, ok} from '@pistachiorill/core';
 import type {FailoverReport, Result} from '@pistachiorill/core';
-import {TRPCClientError, createTRPCClient} from '@trpc/client';
+import {createTRPCClient} from '@trpc/client';
 import type {TRPCClient} from '@trpc/client';
-import {TransportError} from './http_call.js';
+import {callPeer as call} from './call_peer.js';
+import type {CallOptions} from './call_peer.js';
 import type {PeerError} from './peer_error.js';
 import {peerLink} from './peer_link.js';
 import type {PeerRouter} from './peer_router.js';
@@ -33,12 +33,6 @@
   RollbackRequest,
 } from './procedures/transaction_schema.js';
 
-/** How long a call waits, and what may end it earlier. */
-export interface CallOptions {
-  readonly timeoutMs: number;
-  readonly signal?: AbortSignal;
-}
-
 type Answer<T> = Promise<Result<T, PeerError>>;
 
 /** Shorter than the server's limit; see `PeerServer`. */
@@ -128,43 +122,3 @@
     this.agent.destroy();
   }
 }
-
-/** The options of one call as the link reads them. */
-interface LinkOptions {
-  readonly context: {readonly timeoutMs: number};
-  readonly signal?: AbortSignal;
-}
-
-async function call<T>(
-  {timeoutMs, signal}: CallOptions,
-  send: (options: LinkOptions) => Promise<T>,
-): Answer<T> {
-  const context = {timeoutMs: Math.max(1, timeoutMs)};
-  try {
-    return ok(await send({context, ...(signal ? {signal} : {})}));
-  } catch (err) {
-    return fail(toPeerError(err));
-  }
-}
-
-/** Errors of requests that reached no handler. */
-const REJECTED_CODES = new Set([
-  'BAD_REQUEST',
-  'NOT_FOUND',
-  'PARSE_ERROR',
-  'PAYLOAD_TOO_LARGE',
-]);
-
-function toPeerError(err: unknown): PeerError {
-  if (!(err instanceof TRPCClientError)) {
-    return {kind: 'no-answer', detail: String(err)};
-  }
-  const {cause} = err;
-  if (cause instanceof TransportError) {
-    return {kind: cause.kind, detail: cause.message};
-  }
-  const code = (err.data as {code?: string} | undefined)?.code;
-  return code !== undefined && REJECTED_CODES.has(code)
-    ? {kind: 'rejected', detail: `${code}: ${err.message}`}
-    : {kind: 'no-answer', detail: err.message};
-}
--- a/packages/peers/src/peer_link.ts
+++ b/packages/peers/src/peer_link.ts
@@ -1,10 +1,10 @@
 import type {Agent} from 'node:http';
 import {TRPCClientError} from '@trpc/client';
 import type {TRPCLink} from '@trpc/client';
+import type {AnyRouter} from '@trpc/server';
 import {observable} from '@trpc/server/observable';
 import type {TRPCResultMessage} from '@trpc/server/rpc';
 import {httpCall} from './http_call.js';
-import type {PeerRouter} from './peer_router.js';
 
 type Body =
   | {readonly result: TRPCResultMessage<unknown>['result']}
@@ -15,7 +15,10 @@
  * from the call's context; an abort signal for each call costs more CPU time
  * than the encoding of a probe.
  */
-export function peerLink(address: string, agent: Agent): TRPCLink<PeerRouter> {
+export function peerLink<R extends AnyRouter>(
+  address: string,
+  agent: Agent,
+): TRPCLink<R> {
   const separator = address.lastIndexOf(':');
   const host = address.slice(0, separator);
   const port = Number(address.slice(separator + 1));
--- a/packages/peers/src/peer_server.ts
+++ b/packages/peers/src/peer_server.ts
@@ -1,7 +1,7 @@
 import type {Server} from 'node:http';
 import type {Socket} from 'node:net';
 import {createPeerHttpServer} from './http_adapter.js';
-import type {PeerHandlers} from './peer_handlers.js';
+import type {ServedRouter} from './http_adapter.js';
 
 /**
  * Longer than clients keep an idle connection, so that the client closes first
@@ -21,8 +21,8 @@
   private readonly sockets = new Set<Socket>();
   private closedTraffic: PeerTraffic = {received: 0, sent: 0};
 
-  constructor(handlers: PeerHandlers, onFault: (err: unknown) => void) {
-    this.server = createPeerHttpServer(handlers, onFault);
+  constructor(served: ServedRouter, onFault: (err: unknown) => void) {
+    this.server = createPeerHttpServer(served, onFault);
     this.server.on('connection', socket => this.count(socket));
     this.server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
   }
--- a/packages/standins/src/platform/__tests__/platform_contract.test.ts
+++ b/packages/standins/src/platform/__tests__/platform_contract.test.ts
@@ -3,8 +3,8 @@
   HttpObjectStore,
   HttpTableService,
   HttpVmList,
-} from '@pistachiorill/platform';
-import type {PlatformEndpoint} from '@pistachiorill/platform';
+} from '@pistachiorill/store';
+import type {PlatformEndpoint} from '@pistachiorill/store';
 import type {Result} from '@pistachiorill/core';
 import {PlatformServer} from '../platform_server.js';
 import type {FaultMode} from '../platform_state.js';
--- a/packages/standins/src/platform/handle_request.ts
+++ b/packages/standins/src/platform/handle_request.ts
@@ -1,4 +1,4 @@
-import type {ListedVm} from '@pistachiorill/platform';
+import type {ListedVm} from '@pistachiorill/store';
 import type {FaultMode, PlatformState} from './platform_state.js';
 
 export interface PlatformRequest {
--- a/packages/standins/src/platform/platform_state.ts
+++ b/packages/standins/src/platform/platform_state.ts
@@ -1,4 +1,4 @@
-import type {ListedVm, Row} from '@pistachiorill/platform';
+import type {ListedVm, Row} from '@pistachiorill/store';
 
 /** How the stand-in answers at present. */
 export type FaultMode =
--- a/packages/platform/src/index.ts
+++ b/packages/store/src/index.ts
@@ -17,3 +17,13 @@
 export {readVmStatuses} from './read_vm_statuses.js';
 export type {VmStatusAnswer} from './read_vm_statuses.js';
 export type {GroupStatus, MemberStatus, VmStatus} from './vm_status.js';
+export {TransactionalStore} from './transactional_store.js';
+export type {
+  RowTransaction,
+  StoreReadError,
+  StoreTiming,
+  StoreWriteError,
+  TableAnswer,
+  TableRow,
+  TransactionAnswer,
+} from './transactional_store.js';
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -3,6 +3,7 @@
 export type {AuditAction, AuditEntry} from './audit/audit_entry.js';
 export {AuditTask} from './audit/audit_task.js';
 export type {AuditMessage, AuditSink} from './audit/audit_task.js';
-export {createLogger} from './logger.js';
+export {BoundedLogStream} from './bounded_log_stream.js';
+export {createBoundedLogger, createLogger} from './logger.js';
 export type {LogLevel, Logger} from './logger.js';
 export {Metrics} from './metrics.js';
--- /dev/null
+++ b/scripts/build_gateway.mjs
@@ -0,0 +1,18 @@
+/** Bundles the gateway into one file for the machines of the platform. */
+import {build} from 'esbuild';
+
+await build({
+  entryPoints: ['platform/src/main.ts'],
+  outfile: 'target/pistachiorill.mjs',
+  bundle: true,
+  platform: 'node',
+  target: 'node20',
+  format: 'esm',
+  minify: true,
+  external: ['dtrace-provider', 'mv', 'safe-json-stringify'],
+  // CommonJS dependencies call `require`, which ES modules lack.
+  banner: {
+    js: "import {createRequire as createBundleRequire} from 'node:module'; const require = createBundleRequire(import.meta.url);",
+  },
+  logLevel: 'warning',
+});
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -2,7 +2,10 @@
 
 export default defineConfig({
   test: {
-    include: ['packages/*/src/**/__tests__/**/*.test.ts'],
+    include: [
+      'packages/*/src/**/__tests__/**/*.test.ts',
+      'platform/src/**/__tests__/**/*.test.ts',
+    ],
     // Process tests start many processes and wait for their first failover; a
     // busy machine must not change the verdict.
     testTimeout: 90_000,
