Move parts of tokens between VMs, and wait for tokens after a start

Cause: a workspace whose burst is below one token for each VM never got a whole one, and a VM that had just started refused what it could have admitted some milliseconds later (418 refusals in the two seconds after a power cut).

Change: parts of tokens move; a small workspace asks more peers at a time; after a start a statement may wait for most of its latency target. A VM that cannot reach most primaries reports that it is not ready. A line sums up the refusals of a workspace every five seconds.

Ruled out: asking ahead of demand, which made VMs hoard what others needed.

--- a/packages/core/src/quota/transfer/__tests__/transfer.test.ts
+++ b/packages/core/src/quota/transfer/__tests__/transfer.test.ts
@@ -1,6 +1,6 @@
 import {describe, expect, it} from 'vitest';
 import {Random} from '../../../common/random.js';
-import {tokensToAsk, tokensToGive} from '../decide_transfer.js';
+import {peersToAsk, tokensToAsk, tokensToGive} from '../decide_transfer.js';
 import {accrueTokens, emptyBucket, noteDemand} from '../token_bucket.js';
 import type {TokenBucket} from '../token_bucket.js';
 
@@ -72,6 +72,18 @@
     }
   });
 
+  // Guards against a workspace whose part on each VM is less than a token, and
+  // which therefore never gets one.
+  it('puts a token together from many parts', () => {
+    const part = {...emptyBucket(0), tokens: 0.5};
+    const limit = {rate: 4, burst: 4};
+    const asked = tokensToAsk(emptyBucket(0), 1, 0);
+    const peers = peersToAsk(limit, SHARE_PPM, asked);
+    const given = tokensToGive(part, asked / peers, 0);
+    expect({asked, peers, sum: peers * given}).toMatchSnapshot();
+    expect(peers * given).toBeGreaterThanOrEqual(1);
+  });
+
   // Guards against refusals within the rate when one VM gets all statements.
   it('moves tokens to where they are needed', () => {
     const runs = [1, 2, 3, 4].map(seed => play(seed, 25, 'one-vm'));
--- a/packages/gateway/src/daemon/gateway_daemon.ts
+++ b/packages/gateway/src/daemon/gateway_daemon.ts
@@ -51,6 +51,10 @@
 /** What is left of the grace period when the process ends. */
 const EXIT_RESERVE_MS = 700;
 const IDLE_CHECK_MS = 50;
+/** Suspicions are repeated while they last, several times in this time. */
+const SUSPICION_FRESH_MS = 500;
+/** How long primaries are out of reach before the VM says so. */
+const CUT_OFF_AFTER_MS = 600;
 const LEAVE_TIMEOUT_MS = 400;
 
 /** What the gateway needs of the platform on which it runs. */
@@ -91,6 +95,11 @@
   private view: FleetView | undefined;
   private operators: OperatorState | undefined;
   private members: readonly ListedMember[] | undefined;
+  /** Primaries that cannot be reached, by group. */
+  private readonly suspicions = new Map<
+    string,
+    {readonly since: number; readonly at: number}
+  >();
   private lifecycle: 'serving' | 'stopping' = 'serving';
 
   constructor(
@@ -316,10 +325,26 @@
       this.operators?.configuration !== undefined &&
       this.members !== undefined &&
       this.view !== undefined &&
-      isProven(this.view, this.clock());
+      isProven(this.view, this.clock()) &&
+      !this.isCutOff();
     return isReady ? 'ready' : 'not-ready';
   }
 
+  /**
+   * Whether most primaries are out of reach. Callers then do better with the
+   * VMs of another data centre.
+   */
+  private isCutOff(): boolean {
+    const now = this.clock();
+    const unreached = [...this.suspicions].filter(
+      ([group, {since, at}]) =>
+        this.databases.has(group) &&
+        now - at < SUSPICION_FRESH_MS &&
+        now - since > CUT_OFF_AFTER_MS,
+    );
+    return unreached.length * 2 > this.databases.size;
+  }
+
   private knownView(): FleetView {
     return this.view ?? EMPTY_VIEW;
   }
@@ -373,6 +398,7 @@
       clock: this.clock,
       right: leadership => this.rightOf(group, leadership),
       onSuspect: (name, primary, since) => {
+        this.suspicions.set(name, {since, at: this.clock()});
         this.directory.tell({kind: 'hurry'});
         this.leadership.tell({kind: 'suspected', group: name, primary, since});
       },
--- a/packages/gateway/src/database/member_pool.ts
+++ b/packages/gateway/src/database/member_pool.ts
@@ -29,7 +29,7 @@
 /** Waiting statements of one workspace for one member. */
 const QUEUE_LIMIT = 64;
 /** Idle connections above the VM's share close after this. */
-const SPARE_IDLE_MS = 60;
+const SPARE_IDLE_MS = 15;
 /** How long no connection is opened after the member refused one. */
 const FULL_BACKOFF_MS = 25;
 /** How often a limit that was lowered by a refusal grows by one. */
--- a/packages/gateway/src/leadership/leadership_task.ts
+++ b/packages/gateway/src/leadership/leadership_task.ts
@@ -25,8 +25,11 @@
 const RANK_DELAY_MS = 120;
 /** A peer may try to reach the primary before it answers. */
 const SIGHT_TIMEOUT_MS = 800;
-/** How often one suspicion is judged. */
+/** How often one suspicion is judged; the interval doubles up to a limit. */
 const JUDGE_INTERVAL_MS = 400;
+const MAX_JUDGE_INTERVAL_MS = 2_000;
+/** A suspicion that was not raised for this long starts anew. */
+const SUSPICION_PAUSE_MS = 5_000;
 /** How long a primary may be missing from the directory. */
 const GONE_AFTER_MS = 1_500;
 
@@ -71,7 +74,10 @@
 export class LeadershipTask extends Task<LeadershipMessage> {
   private readonly moves = new Set<string>();
   private readonly concerns = new Map<string, Concern>();
-  private readonly judgedAt = new Map<string, number>();
+  private readonly judged = new Map<
+    string,
+    {readonly at: number; readonly waitMs: number}
+  >();
   private timer: NodeJS.Timeout | undefined;
   private claiming: 'idle' | 'under-way' = 'idle';
 
@@ -196,20 +202,29 @@
     const now = this.tools.clock();
     if (now - since < SUSPECT_AFTER_MS + this.rankDelay(group)) return;
     if (this.moves.has(group)) return;
-    const judged = this.judgedAt.get(group) ?? -Infinity;
-    if (now - judged < JUDGE_INTERVAL_MS) return;
+    const judged = this.judged.get(group);
+    if (judged && now - judged.at < judged.waitMs) return;
     const record = this.tools.view().rows.leadership.get(group)?.record;
     if (record?.phase !== 'settled' || record.primary !== primary) return;
     void this.judge(group, since);
   }
 
+  private noteJudgement(group: string, now: number): void {
+    const last = this.judged.get(group);
+    const isSame = last !== undefined && now - last.at < SUSPICION_PAUSE_MS;
+    const waitMs = isSame
+      ? Math.min(MAX_JUDGE_INTERVAL_MS, last.waitMs * 2)
+      : JUDGE_INTERVAL_MS;
+    this.judged.set(group, {at: now, waitMs});
+  }
+
   /** Asks all VMs how they see a primary, and acts on what most say. */
   private async judge(group: string, since: number): Promise<void> {
     const {clock, peers, view, log} = this.tools;
     const record = view().rows.leadership.get(group)?.record;
     const database = this.tools.database(group);
     if (record?.phase !== 'settled' || !database) return;
-    this.judgedAt.set(group, clock());
+    this.noteJudgement(group, clock());
     const views: Array<PrimarySighting | 'vm-down'> = await Promise.all([
       ask<PrimarySighting>(reply => database.tell({kind: 'sight', reply})),
       ...peers.names.map(async name => {
--- a/packages/gateway/src/quota/quota_task.ts
+++ b/packages/gateway/src/quota/quota_task.ts
@@ -3,6 +3,7 @@
   demandAt,
   emptyBucket,
   noteDemand,
+  peersToAsk,
   tokensToAsk,
   tokensToGive,
 } from '@pistachiorill/core';
@@ -16,10 +17,15 @@
 const ASK_INTERVAL_MS = 60;
 /** How long a VM waits before it asks again after no peer had any. */
 const DRY_BACKOFF_MS = 250;
-/** Peers that are asked at a time. */
-const ASKED_PEERS = 2;
+/**
+ * A VM starts without tokens. Until it has accrued some, waiting for one is
+ * better than a refusal.
+ */
+const STARTING_MS = 2_000;
 const ASK_TIMEOUT_MS = 150;
 const TICK_MS = 20;
+/** How often refusals of a workspace are summed up in the log. */
+const REPORT_INTERVAL_MS = 5_000;
 
 export type Admission =
   | {readonly kind: 'admitted'}
@@ -34,6 +40,8 @@
       readonly kind: 'admit';
       readonly workspace: string;
       readonly until: number;
+      /** When the wait ends while the VM has just started. */
+      readonly untilAtStart: number;
       readonly reply: Reply<Admission>;
     }
   /** Returns the token of an operation that certainly did not run. */
@@ -69,12 +77,16 @@
   askAt: number;
   /** The peer that last had tokens to give. */
   lender: string | undefined;
+  /** What was decided since the last report. */
+  report: {startedAt: number; admitted: number; refused: number};
 }
 
 /** Owns the VM's tokens of every workspace. */
 export class QuotaTask extends Task<QuotaMessage> {
   private readonly accounts = new Map<string, Account>();
   private ticker: NodeJS.Timeout | undefined;
+  /** When the VM first had a share to spend. */
+  private spendingSince: number | undefined;
 
   constructor(private readonly tools: QuotaTools) {
     super();
@@ -134,6 +146,7 @@
           waiting: [],
           askAt: -Infinity,
           lender: undefined,
+          report: {startedAt: now, admitted: 0, refused: 0},
         });
       }
     }
@@ -149,7 +162,11 @@
       return;
     }
     account.bucket = noteDemand(account.bucket, now);
-    account.waiting.push({until: message.until, reply: message.reply});
+    const {until, untilAtStart, reply} = message;
+    account.waiting.push({
+      until: this.isStarting(now) ? untilAtStart : until,
+      reply,
+    });
     this.serve(message.workspace, account, now);
   }
 
@@ -159,13 +176,16 @@
       const {bucket} = account;
       account.bucket = {...bucket, tokens: bucket.tokens - 1};
       account.waiting.shift()?.reply.answer({kind: 'admitted'});
+      account.report.admitted++;
     }
     account.waiting = account.waiting.filter(waiter => {
       if (now < waiter.until) return true;
       const retryAfterMs = this.untilNextToken(account);
+      account.report.refused++;
       waiter.reply.answer({kind: 'refused', retryAfterMs});
       return false;
     });
+    this.reportRefusals(workspace, account, now);
     const asked = tokensToAsk(account.bucket, account.waiting.length, now);
     if (asked > 0 && now >= account.askAt) {
       account.askAt = now + ASK_INTERVAL_MS;
@@ -173,6 +193,42 @@
     }
   }
 
+  private reportRefusals(
+    workspace: string,
+    {limits, bucket, report}: Account,
+    now: number,
+  ): void {
+    if (now - report.startedAt < REPORT_INTERVAL_MS) return;
+    if (report.refused > 0) {
+      const {admitted, refused} = report;
+      const sharePpm = this.tools.sharePpm();
+      const {tokens} = bucket;
+      this.tools.log.info(
+        {
+          event: 'quota.refused',
+          workspace,
+          admitted,
+          refused,
+          limits,
+          sharePpm,
+          tokens,
+        },
+        'statements were refused for want of tokens',
+      );
+    }
+    report.startedAt = now;
+    report.admitted = 0;
+    report.refused = 0;
+  }
+
+  private isStarting(now: number): boolean {
+    if (this.spendingSince === undefined && this.tools.sharePpm() > 0) {
+      this.spendingSince = now;
+    }
+    const since = this.spendingSince;
+    return since === undefined || now - since < STARTING_MS;
+  }
+
   private untilNextToken({limits, bucket}: Account): number {
     const perSecond = (limits.rate * this.tools.sharePpm()) / 1_000_000;
     const missing = Math.max(0, 1 - bucket.tokens);
@@ -183,9 +239,13 @@
   }
 
   private askPeers(workspace: string, account: Account, tokens: number): void {
-    const names = this.tools.peers.sample(ASKED_PEERS, account.lender);
+    const {peers, sharePpm} = this.tools;
+    const names = peers.sample(
+      peersToAsk(account.limits, sharePpm(), tokens),
+      account.lender,
+    );
+    const each = tokens / Math.max(1, names.length);
     for (const from of names) {
-      const each = Math.ceil(tokens / names.length);
       void this.tools.peers
         .tokens(from, workspace, each, ASK_TIMEOUT_MS)
         .then(result =>
@@ -213,7 +273,9 @@
       };
     } else {
       if (account.lender === from) account.lender = undefined;
-      account.askAt = Math.max(account.askAt, now + DRY_BACKOFF_MS);
+      if (account.lender === undefined) {
+        account.askAt = Math.max(account.askAt, now + DRY_BACKOFF_MS);
+      }
     }
     this.serve(workspace, account, now);
   }
--- a/packages/gateway/src/session/admit_filter.ts
+++ b/packages/gateway/src/session/admit_filter.ts
@@ -7,6 +7,8 @@
 
 /** The part of the latency target that a statement may wait for a token. */
 const TOKEN_WAIT_SHARE = 0.25;
+/** The same while the VM has just started and has no tokens yet. */
+const TOKEN_WAIT_SHARE_AT_START = 0.8;
 
 /** Takes one token of the workspace's rate for each operation. */
 export class AdmitFilter extends Filter<
@@ -27,8 +29,9 @@
     if (statement.caller === 'anonymous') return ok(statement);
     const {workspace, route} = statement;
     const until = now + route.targetMs * TOKEN_WAIT_SHARE;
+    const untilAtStart = now + route.targetMs * TOKEN_WAIT_SHARE_AT_START;
     const admission = await ask<Admission>(reply =>
-      this.quota.tell({kind: 'admit', workspace, until, reply}),
+      this.quota.tell({kind: 'admit', workspace, until, untilAtStart, reply}),
     );
     if (admission.kind === 'admitted') return ok(statement);
     return fail({
--- a/packages/gateway/src/session/session_task.ts
+++ b/packages/gateway/src/session/session_task.ts
@@ -105,6 +105,12 @@
   }
 
   private async event(event: CallerEvent, receivedAt: number): Promise<void> {
+    if (this.phase === 'new' && !['open', 'ended'].includes(event.kind)) {
+      const detail = 'the session is not open';
+      this.link.reject({kind: 'malformed', detail});
+      this.end();
+      return;
+    }
     switch (event.kind) {
       case 'open':
         this.open(event.database, event.key);
--- /dev/null
+++ b/packages/gateway/src/testing/fake_member.ts
@@ -0,0 +1,140 @@
+import {fail, ok} from '@pistachiorill/core';
+import type {LogPosition, MemberRole, Result} from '@pistachiorill/core';
+import {MemberLink, MemberLinks} from '../ports/member_link.js';
+import type {
+  LinkFault,
+  MemberAnswer,
+  MemberErrorKind,
+  MemberRequest,
+  MemberStatus,
+  MemberTarget,
+  TransactionState,
+} from '../ports/member_link.js';
+
+/** What a fake member does with requests. */
+export type MemberMood =
+  'answers' | 'silent' | 'refuses-connections' | 'full' | 'loses-answers';
+
+/** A member in memory, with a log of what it was sent. */
+export class FakeMember {
+  role: MemberRole = 'replica';
+  term = 1;
+  received: LogPosition = {term: 1, position: 10};
+  applied: LogPosition = {term: 1, position: 10};
+  mood: MemberMood = 'answers';
+  /** Errors for the next requests, by command. */
+  readonly errors: Array<{readonly command: string; kind: MemberErrorKind}> =
+    [];
+  readonly requests: string[] = [];
+
+  constructor(readonly name: string) {}
+}
+
+function describe({id, command, after}: MemberRequest): string {
+  const text = command.kind === 'statement' ? command.text : command.kind;
+  const position = after ? ` after ${after.term}.${after.position}` : '';
+  return `${id ?? '-'} ${text}${position}`;
+}
+
+class FakeLink extends MemberLink {
+  private phase: 'new' | 'open' | 'closed' = 'new';
+  private transaction: TransactionState = 'none';
+
+  constructor(
+    private readonly member: FakeMember,
+    private readonly workspace: string,
+  ) {
+    super();
+  }
+
+  override get isUsable(): boolean {
+    return this.phase === 'open';
+  }
+
+  override async open(): Promise<Result<void, LinkFault>> {
+    const {mood} = this.member;
+    if (mood === 'silent' || mood === 'refuses-connections') {
+      this.phase = 'closed';
+      return fail({kind: 'not-sent', detail: 'no connection'});
+    }
+    if (mood === 'full') {
+      this.phase = 'closed';
+      const error = {
+        kind: 'too-many-connections',
+        code: 'FULL',
+        text: '',
+      } as const;
+      return fail({kind: 'rejected', error});
+    }
+    this.phase = 'open';
+    this.member.requests.push(`open ${this.workspace}`);
+    return ok(undefined);
+  }
+
+  override async run(
+    request: MemberRequest,
+    timeoutMs: number,
+  ): Promise<Result<MemberAnswer, LinkFault>> {
+    const {member} = this;
+    if (this.phase !== 'open') {
+      return fail({kind: 'not-sent', detail: 'closed'});
+    }
+    member.requests.push(describe(request));
+    if (member.mood === 'silent' || member.mood === 'loses-answers') {
+      await new Promise(resolve =>
+        setTimeout(resolve, Math.min(20, timeoutMs)),
+      );
+      this.phase = 'closed';
+      return fail({kind: 'silent', afterMs: timeoutMs});
+    }
+    return ok(this.answer(request));
+  }
+
+  override close(): void {
+    this.phase = 'closed';
+  }
+
+  override statusOf(): MemberStatus | undefined {
+    const {role, term, received, applied} = this.member;
+    return {role, term, received, applied};
+  }
+
+  private answer({command}: MemberRequest): MemberAnswer {
+    const {member} = this;
+    const index = member.errors.findIndex(
+      item => item.command === command.kind,
+    );
+    const [error] = index < 0 ? [] : member.errors.splice(index, 1);
+    if (command.kind === 'begin') this.transaction = 'open';
+    if (command.kind === 'commit' || command.kind === 'rollback') {
+      this.transaction = 'none';
+    }
+    return {
+      rows: [],
+      outcome: error
+        ? {
+            kind: 'error',
+            error: {kind: error.kind, code: error.kind, text: member.name},
+          }
+        : {kind: 'done', signature: `signed by ${member.name}`},
+      transaction: this.transaction,
+      applied: member.applied,
+    };
+  }
+}
+
+/** Connects to fake members by name. */
+export class FakeLinks extends MemberLinks {
+  readonly members = new Map<string, FakeMember>();
+
+  add(name: string): FakeMember {
+    const member = new FakeMember(name);
+    this.members.set(name, member);
+    return member;
+  }
+
+  override create(target: MemberTarget, workspace: string): MemberLink {
+    const member = this.members.get(target.member) ?? new FakeMember('nobody');
+    return new FakeLink(member, workspace);
+  }
+}
