--- a/packages/gateway/src/database/control_connections.ts
+++ b/packages/gateway/src/database/control_connections.ts
@@ -8,30 +8,37 @@
 /** What a member is told in place of a workspace. */
 const CONTROL_NAME = '-';
 
+/** Whether a member answered at all; one without a free slot did. */
+export function answersNow(status: StatusResult): boolean {
+  if (status.ok || status.err === 'unreadable') return true;
+  return (
+    status.err.kind === 'rejected' && status.err.error.kind !== 'wrong-member'
+  );
+}
+
 /**
  * Sends control commands to members, each on a connection of its own, which
  * shows whether the member can be reached anew.
  */
 export class ControlConnections {
-  constructor(private readonly links: MemberLinks) {}
+  constructor(
+    private readonly group: string,
+    private readonly links: MemberLinks,
+  ) {}
 
-  status(group: string, listed: ListedMember): Promise<StatusResult> {
-    return this.send(group, listed, {kind: 'status'});
+  status(listed: ListedMember): Promise<StatusResult> {
+    return this.send(listed, {kind: 'status'});
   }
 
-  stepDown(
-    group: string,
-    listed: ListedMember,
-    term: number,
-  ): Promise<StatusResult> {
-    return this.send(group, listed, {kind: 'step-down', term});
+  stepDown(listed: ListedMember, term: number): Promise<StatusResult> {
+    return this.send(listed, {kind: 'step-down', term});
   }
 
   private async send(
-    group: string,
     {member, address}: ListedMember,
     command: MemberCommand,
   ): Promise<StatusResult> {
+    const {group} = this;
     const link = this.links.create({member, address, group}, CONTROL_NAME);
     try {
       const opened = await link.open(CONTROL_TIMEOUT_MS);
--- a/packages/gateway/src/database/database_message.ts
+++ b/packages/gateway/src/database/database_message.ts
@@ -78,7 +78,6 @@
   | {
       readonly kind: 'probed';
       readonly member: string;
-      readonly askedAt: number;
       readonly status: StatusResult;
     }
   /** Ends the use of the primary as of a version of its record. */
