Split the daemon, the placement and the messages of sessions and moves

Change: DatabaseSet opens and closes the groups' tasks, placeStatement decides where a statement runs, and the messages and tools of sessions, moves and databases are modules of their own. No decision changed.

--- a/packages/gateway/src/daemon/gateway_daemon.ts
+++ b/packages/gateway/src/daemon/gateway_daemon.ts
@@ -1,7 +1,6 @@
 import {randomUUID} from 'node:crypto';
 import type {Server} from 'node:http';
 import {Random} from '@pistachiorill/core';
-import type {VersionedLeadership} from '@pistachiorill/core';
 import {PeerServer} from '@pistachiorill/peers';
 import type {
   RowTransaction,
@@ -13,9 +12,9 @@
 import {Pipeline, ask} from '@pistachiorill/tasks';
 import type {Logger} from '@pistachiorill/telemetry';
 import {SuspensionClock, SystemClocks} from '../clock/suspension_clock.js';
-import {DatabaseTask} from '../database/database_task.js';
+import {DatabaseSet} from './database_set.js';
 import {FleetTask} from '../fleet/fleet_task.js';
-import {isProven, rightOf, shareOf} from '../fleet/fleet_view.js';
+import {EMPTY_FLEET_VIEW, isProven, shareOf} from '../fleet/fleet_view.js';
 import type {FleetView} from '../fleet/fleet_view.js';
 import {ShareKeeper} from '../fleet/share_keeper.js';
 import {LeadershipTask} from '../leadership/leadership_task.js';
@@ -40,7 +39,7 @@
 import {PlaceFilter} from '../session/place_filter.js';
 import {RouteFilter} from '../session/route_filter.js';
 import {SessionTask} from '../session/session_task.js';
-import type {SessionTools} from '../session/session_task.js';
+import type {SessionTools} from '../session/session_message.js';
 import {GatewayMetrics} from '../telemetry/gateway_metrics.js';
 import {DaemonPeerHandlers} from './daemon_peer_handlers.js';
 import type {GatewaySettings} from './gateway_settings.js';
@@ -51,10 +50,6 @@
 /** What is left of the grace period when the process ends. */
 const EXIT_RESERVE_MS = 700;
 const IDLE_CHECK_MS = 50;
-/** Suspicions are repeated while they last, several times in this time. */
-const SUSPICION_FRESH_MS = 500;
-/** How long primaries are out of reach before the VM says so. */
-const CUT_OFF_AFTER_MS = 600;
 const LEAVE_TIMEOUT_MS = 400;
 
 /** What the gateway needs of the platform on which it runs. */
@@ -80,7 +75,7 @@
   private readonly metrics = new GatewayMetrics();
   private readonly random = new Random(Date.now() | 0);
   private readonly peers = new PeerSet(this.random);
-  private readonly databases = new Map<string, DatabaseTask>();
+  private readonly databases: DatabaseSet;
   private readonly sessions = new Set<SessionTask>();
   private readonly ports: GatewayPorts;
   private readonly fleet: FleetTask;
@@ -95,11 +90,6 @@
   private view: FleetView | undefined;
   private operators: OperatorState | undefined;
   private members: readonly ListedMember[] | undefined;
-  /** Primaries that cannot be reached, by group. */
-  private readonly suspicions = new Map<
-    string,
-    {readonly since: number; readonly at: number}
-  >();
   private lifecycle: 'serving' | 'stopping' = 'serving';
 
   constructor(
@@ -144,6 +134,17 @@
       log,
       onFailed,
     });
+    this.databases = new DatabaseSet({
+      settings,
+      links: this.ports.links,
+      view: () => this.knownView(),
+      onSuspect: (group, primary, since) => {
+        this.directory.tell({kind: 'hurry'});
+        this.leadership.tell({kind: 'suspected', group, primary, since});
+      },
+      clock,
+      log,
+    });
     const transact = (
       transaction: RowTransaction,
     ): Promise<Result<TransactionAnswer, StoreWriteError>> =>
@@ -151,9 +152,9 @@
     this.leadership = new LeadershipTask({
       vm,
       view: () => this.knownView(),
-      groups: () => [...this.databases.keys()],
+      groups: () => this.databases.groups,
       database: group => this.databases.get(group),
-      members: group => this.membersOf(group),
+      members: group => this.databases.membersOf(group),
       isEligible: member =>
         member.state === 'ready' &&
         this.operators?.dataCentresOut.has(member.dataCentre) !== true,
@@ -277,9 +278,7 @@
 
   private async leave(): Promise<void> {
     // No right to use a primary may remain when the row is gone.
-    for (const database of this.databases.values()) {
-      database.tell({kind: 'close'});
-    }
+    this.databases.close();
     const left = ask<void>(reply => this.fleet.tell({kind: 'leave', reply}));
     await Promise.race([left, sleep(LEAVE_TIMEOUT_MS)]);
   }
@@ -326,27 +325,12 @@
       this.members !== undefined &&
       this.view !== undefined &&
       isProven(this.view, this.clock()) &&
-      !this.isCutOff();
+      !this.databases.isCutOff(this.clock());
     return isReady ? 'ready' : 'not-ready';
   }
 
-  /**
-   * Whether most primaries are out of reach. Callers then do better with the
-   * VMs of another data centre.
-   */
-  private isCutOff(): boolean {
-    const now = this.clock();
-    const unreached = [...this.suspicions].filter(
-      ([group, {since, at}]) =>
-        this.databases.has(group) &&
-        now - at < SUSPICION_FRESH_MS &&
-        now - since > CUT_OFF_AFTER_MS,
-    );
-    return unreached.length * 2 > this.databases.size;
-  }
-
   private knownView(): FleetView {
-    return this.view ?? EMPTY_VIEW;
+    return this.view ?? EMPTY_FLEET_VIEW;
   }
 
   private viewChanged(view: FleetView): void {
@@ -359,11 +343,7 @@
         .filter(([vm]) => vm !== self)
         .map(([vm, {value}]) => ({vm, address: value.peers})),
     );
-    for (const [group, database] of this.databases) {
-      const leadership = view.rows.leadership.get(group);
-      database.tell({kind: 'leadership', leadership});
-    }
-    if (before?.rows.vms.size !== view.rows.vms.size) this.showGroups();
+    this.databases.showFleet(view);
   }
 
   private apply(state: OperatorState): void {
@@ -371,98 +351,23 @@
     this.operators = state;
     const {configuration} = state;
     if (!configuration) return;
-    for (const group of configuration.groups.keys()) this.openDatabase(group);
-    for (const [group, database] of this.databases) {
-      if (configuration.groups.has(group)) continue;
-      database.tell({kind: 'close'});
-      this.databases.delete(group);
-    }
+    this.databases.showOperators(state);
     this.quota.tell({
       kind: 'limits',
       limits: new Map(
         [...configuration.workspaces].map(([name, item]) => [name, item.limit]),
       ),
     });
-    this.showGroups();
     if (before?.version === configuration.version) return;
     for (const session of this.sessions) session.tell({kind: 'reconfigured'});
   }
 
-  private openDatabase(group: string): void {
-    if (this.databases.has(group)) return;
-    const {vm, regions} = this.settings;
-    const database = new DatabaseTask(group, {
-      vm: {dataCentre: vm.data_centre, region: vm.region},
-      regionOf: dataCentre => regions[dataCentre] ?? '',
-      links: this.ports.links,
-      clock: this.clock,
-      right: leadership => this.rightOf(group, leadership),
-      onSuspect: (name, primary, since) => {
-        this.suspicions.set(name, {since, at: this.clock()});
-        this.directory.tell({kind: 'hurry'});
-        this.leadership.tell({kind: 'suspected', group: name, primary, since});
-      },
-      log: this.log,
-      onFailed: err =>
-        this.log.error({event: 'database.failed', group, err}, 'task failed'),
-    });
-    this.databases.set(group, database);
-    const leadership = this.view?.rows.leadership.get(group);
-    database.tell({kind: 'leadership', leadership});
-  }
-
-  /**
-   * The proof and the records belong together, so a record that the group's
-   * task has not received yet counts already.
-   */
-  private rightOf(group: string, known: VersionedLeadership | undefined) {
-    const view = this.knownView();
-    const newest = view.rows.leadership.get(group);
-    const leadership =
-      newest && newest.version > (known?.version ?? 0) ? newest : known;
-    return rightOf(view, leadership, this.clock());
-  }
-
   private membersChanged(members: readonly ListedMember[]): void {
     this.members = members;
-    this.showGroups();
-  }
-
-  private membersOf(group: string): readonly ListedMember[] {
-    return (this.members ?? []).filter(item => item.group === group);
-  }
-
-  private showGroups(): void {
-    const {operators} = this;
-    for (const [group, database] of this.databases) {
-      const settings = operators?.configuration?.groups.get(group);
-      if (!operators || !settings) continue;
-      database.tell({
-        kind: 'view',
-        view: {
-          settings,
-          members: this.membersOf(group),
-          dataCentresOut: operators.dataCentresOut,
-          vmCount: Math.max(1, this.knownView().rows.vms.size),
-        },
-      });
-    }
+    this.databases.showMembers(members);
   }
 }
 
-const EMPTY_VIEW: FleetView = {
-  rows: {
-    vms: new Map(),
-    leadership: new Map(),
-    duty: undefined,
-    shares: undefined,
-  },
-  version: 0,
-  proof: undefined,
-  storeClock: {minOffset: -Infinity, maxOffset: Infinity},
-  joined: 'not-joined',
-};
-
 function sleep(ms: number): Promise<void> {
   return new Promise(resolve => {
     setTimeout(resolve, ms);
--- a/packages/gateway/src/database/database_task.ts
+++ b/packages/gateway/src/database/database_task.ts
@@ -1,25 +1,13 @@
-import {
-  addPositionSample,
-  fail,
-  laterPosition,
-  ok,
-  rankForRead,
-  requiredPosition,
-} from '@pistachiorill/core';
+import {addPositionSample, fail, ok} from '@pistachiorill/core';
 import type {
-  LogPosition,
-  MemberRole,
   PositionSamples,
-  PrimaryRight,
   PrimarySighting,
   Result,
   VersionedLeadership,
 } from '@pistachiorill/core';
 import {Task} from '@pistachiorill/tasks';
-import type {Clock, Reply} from '@pistachiorill/tasks';
-import type {Logger} from '@pistachiorill/telemetry';
+import type {Reply} from '@pistachiorill/tasks';
 import type {ListedMember} from '../ports/member_directory.js';
-import type {MemberLinks} from '../ports/member_link.js';
 import {ControlConnections, answersNow} from './control_connections.js';
 import type {
   DatabaseMessage,
@@ -27,39 +15,19 @@
   StatusResult,
   StopMode,
 } from './database_message.js';
+import type {DatabaseTools} from './database_tools.js';
 import type {Lease, LeaseRefusal, LeaseRequest} from './lease.js';
-import {leaseRefusal, poolRefusal, refusalOf} from './lease_refusals.js';
+import {leaseRefusal, poolRefusal} from './lease_refusals.js';
 import {MemberConnection} from './member_connection.js';
 import {MemberTable} from './member_table.js';
+import {placeStatement} from './place_statement.js';
+import type {Placement} from './place_statement.js';
 import {PrimaryStops} from './primary_stops.js';
 
 const TICK_MS = 50;
-/** The demanded age is lowered by this, as a statement waits before it runs. */
-const AGE_MARGIN_MS = 100;
-/**
- * A primary that leaves gets statements for this long after it was listed so;
- * its move should be over by then.
- */
-const LEAVING_USE_MS = 4_000;
-
-/** What a database's task needs of the VM. */
-export interface DatabaseTools {
-  readonly vm: {readonly dataCentre: string; readonly region: string};
-  readonly regionOf: (dataCentre: string) => string;
-  readonly links: MemberLinks;
-  readonly clock: Clock;
-  /** The VM's right to use the recorded primary now. */
-  readonly right: (leadership: VersionedLeadership | undefined) => PrimaryRight;
-  /** Called while the primary cannot be reached. */
-  readonly onSuspect: (group: string, primary: string, since: number) => void;
-  readonly log: Logger;
-  readonly onFailed: (err: unknown) => void;
-}
 
 type LeaseMessage = Extract<DatabaseMessage, {kind: 'lease'}>;
 type LeaseReply = Reply<Result<Lease, LeaseRefusal>>;
-/** Where a statement is to run. */
-type Placement = Omit<Lease, 'connection'>;
 
 /** Owns one VM's view of a group, its connections and its right to write. */
 export class DatabaseTask extends Task<DatabaseMessage> {
@@ -235,11 +203,13 @@
 
   private lease(message: LeaseMessage, now: number): void {
     const {request, reply} = message;
-    const {need} = request;
-    const placed =
-      need.kind === 'primary'
-        ? this.placeAtPrimary(request, now)
-        : this.placeRecent(request, need, now);
+    const placed = placeStatement(request, {
+      members: this.members,
+      samples: this.samples,
+      right: this.tools.right(this.leadership),
+      record: this.leadership?.record,
+      now,
+    });
     if (placed.ok) {
       this.enqueue(placed.value, request, reply, now);
     } else if (placed.err.kind === 'primary-moving' && now < request.until) {
@@ -249,71 +219,6 @@
     }
   }
 
-  private placeAtPrimary(
-    request: LeaseRequest,
-    now: number,
-  ): Result<Placement, LeaseRefusal> {
-    const right = this.tools.right(this.leadership);
-    if (right.kind === 'denied') return fail(refusalOf(right.reason));
-    const {primary: member} = right;
-    const listed = this.members.listed(member);
-    if (!listed || request.avoid.includes(member)) {
-      return fail(leaseRefusal('no-primary', 'the primary is not available'));
-    }
-    if (
-      this.members.isOut(listed) ||
-      this.members.leavingMs(member, now) > LEAVING_USE_MS
-    ) {
-      return fail(leaseRefusal('primary-moving', 'the primary leaves'));
-    }
-    if (!this.members.isInRegions(listed, request.regions)) {
-      const detail = 'the primary is in another region';
-      return fail(leaseRefusal('no-member', detail));
-    }
-    if (this.members.sighting(member, now) === 'unreachable') {
-      return fail(leaseRefusal('no-primary', 'the primary does not answer'));
-    }
-    if (!this.members.admitWarmingUp(member, now)) {
-      return fail(leaseRefusal('rate-of-cold-member', 'the primary warms up'));
-    }
-    return ok({member, role: 'primary', after: undefined});
-  }
-
-  private placeRecent(
-    request: LeaseRequest,
-    need: Extract<LeaseRequest['need'], {kind: 'recent'}>,
-    now: number,
-  ): Result<Placement, LeaseRefusal> {
-    const maxAgeMs = need.maxAgeMs - AGE_MARGIN_MS;
-    const sample = requiredPosition(this.samples, maxAgeMs, now);
-    const after = sample && laterPosition(sample, need.seen);
-    const loads = this.members.loads(request, this.roles(), now);
-    const ranked = rankForRead(loads, after, now).filter(member =>
-      this.members.admitWarmingUp(member, now),
-    );
-    const member =
-      ranked.find(item => this.members.pool(item)?.canGrant(request, now)) ??
-      ranked[0];
-    if (member === undefined) {
-      const right = this.tools.right(this.leadership);
-      return right.kind === 'denied'
-        ? fail(refusalOf(right.reason))
-        : fail(leaseRefusal('no-member', 'no member holds recent data'));
-    }
-    const role = loads.find(load => load.member === member)?.role ?? 'replica';
-    return ok({member, role, after: role === 'replica' ? after : undefined});
-  }
-
-  /** The role in which each member may be used now. */
-  private roles(): (member: string) => MemberRole | 'unusable' {
-    const right = this.tools.right(this.leadership);
-    const record = this.leadership?.record;
-    const recorded =
-      record?.phase === 'settled' ? record.primary : record?.from;
-    const asPrimary = right.kind === 'granted' ? 'primary' : 'unusable';
-    return member => (member === recorded ? asPrimary : 'replica');
-  }
-
   /** A replica's answer stands, as it held the position that was asked for. */
   private validityOf({role, member}: Lease): LeaseValidity {
     return role === 'replica' || this.isPrimary(member) ? 'valid' : 'expired';
--- a/packages/gateway/src/fleet/fleet_view.ts
+++ b/packages/gateway/src/fleet/fleet_view.ts
@@ -1,5 +1,6 @@
 import {
   PRIMARY_RIGHT_MS,
+  UNKNOWN_STORE_CLOCK,
   latestStoreTime,
   primaryRight,
   spendableShare,
@@ -23,6 +24,20 @@
   readonly joined: 'joined' | 'not-joined';
 }
 
+/** What a VM knows before it has read anything. */
+export const EMPTY_FLEET_VIEW: FleetView = {
+  rows: {
+    vms: new Map(),
+    leadership: new Map(),
+    duty: undefined,
+    shares: undefined,
+  },
+  version: 0,
+  proof: undefined,
+  storeClock: UNKNOWN_STORE_CLOCK,
+  joined: 'not-joined',
+};
+
 /** Whether the view is recent enough to act on. */
 export function isProven(view: FleetView, now: number): boolean {
   return (
--- a/packages/gateway/src/leadership/leadership_task.ts
+++ b/packages/gateway/src/leadership/leadership_task.ts
@@ -17,7 +17,7 @@
 import {hearsStore, isProven} from '../fleet/fleet_view.js';
 import type {ListedMember} from '../ports/member_directory.js';
 import {Move} from './move.js';
-import type {MoveOutcome, MoveTools} from './move.js';
+import type {MoveOutcome, MoveTools} from './move_tools.js';
 
 /** How often the groups are looked over. */
 const REVIEW_MS = 250;
--- a/packages/gateway/src/leadership/move.ts
+++ b/packages/gateway/src/leadership/move.ts
@@ -1,5 +1,3 @@
-import type {Clock} from '@pistachiorill/tasks';
-import {ask} from '@pistachiorill/tasks';
 import {
   chooseSuccessor,
   compareLogPosition,
@@ -11,23 +9,13 @@
 import type {
   DutyRecord,
   LogPosition,
-  MoveReason,
-  Result,
   SuccessorReport,
 } from '@pistachiorill/core';
-import type {
-  RowTransaction,
-  StoreWriteError,
-  TransactionAnswer,
-} from '@pistachiorill/store';
-import type {Logger} from '@pistachiorill/telemetry';
+import {ask} from '@pistachiorill/tasks';
 import type {StatusResult} from '../database/database_message.js';
-import type {DatabaseTask} from '../database/database_task.js';
 import {DUTY_KEY, leadershipKey, vmKey} from '../fleet/fleet_rows.js';
-import type {FleetView} from '../fleet/fleet_view.js';
-import type {PeerSet} from '../peers/peer_set.js';
 import type {ListedMember} from '../ports/member_directory.js';
-import type {PrimaryOrders} from '../ports/primary_orders.js';
+import type {MoveOutcome, MoveRequest, MoveTools} from './move_tools.js';
 
 /** How often VMs that have not answered are asked to stop again. */
 const STOP_RETRY_MS = 150;
@@ -43,33 +31,6 @@
 /** A move that cannot go on is given up, and another VM may take it over. */
 const MOVE_LIMIT_MS = 20_000;
 
-export interface MoveRequest {
-  readonly group: string;
-  readonly from: string;
-  readonly reason: MoveReason;
-}
-
-/** What a move needs of the VM. */
-export interface MoveTools {
-  readonly vm: string;
-  readonly database: DatabaseTask;
-  readonly view: () => FleetView;
-  readonly members: () => readonly ListedMember[];
-  /** Whether a member may lead: not leaving, its data centre in service. */
-  readonly isEligible: (member: ListedMember) => boolean;
-  readonly isNear: (member: ListedMember) => boolean;
-  readonly synchronousReplicas: () => number;
-  readonly transact: (
-    transaction: RowTransaction,
-  ) => Promise<Result<TransactionAnswer, StoreWriteError>>;
-  readonly peers: PeerSet;
-  readonly orders: PrimaryOrders;
-  readonly clock: Clock;
-  readonly log: Logger;
-}
-
-export type MoveOutcome = 'settled' | 'reverted' | 'lost' | 'given-up';
-
 /** The store's answer to the record that announces a move. */
 interface Announced {
   readonly version: number;
