--- /dev/null
+++ b/packages/gateway/src/fleet/__tests__/fleet_task.test.ts
@@ -0,0 +1,136 @@
+import {afterEach, describe, expect, it} from 'vitest';
+import {Random} from '@pistachiorill/core';
+import {ask} from '@pistachiorill/tasks';
+import {PeerSet} from '../../peers/peer_set.js';
+import {silentLogger} from '../../testing/fake_group.js';
+import {FakeStore} from '../../testing/fake_store.js';
+import {FleetTask} from '../fleet_task.js';
+import type {RelayedRows} from '../fleet_task.js';
+import {isProven, rightOf, shareOf} from '../fleet_view.js';
+import type {FleetView} from '../fleet_view.js';
+
+const SETTLE_MS = 30;
+let running: FleetTask | undefined;
+
+afterEach(async () => {
+  const task = running;
+  if (task) await ask<void>(reply => task.tell({kind: 'leave', reply}));
+});
+
+function start(change: (store: FakeStore) => void = () => undefined) {
+  const offset = {ms: 0};
+  const clock = (): number => performance.now() + offset.ms;
+  const store = new FakeStore(clock);
+  change(store);
+  const views: FleetView[] = [];
+  const task = new FleetTask({
+    vm: 'vm-a',
+    entry: {peers: '10.0.0.1:1', dataCentre: 'macon', incarnation: 'i-1'},
+    store,
+    peers: new PeerSet(new Random(1)),
+    clock,
+    onView: view => views.push(view),
+    onStoreFailure: () => undefined,
+    log: silentLogger(),
+    onFailed: err => {
+      throw err;
+    },
+  });
+  running = task;
+  task.tell({kind: 'start'});
+  return {task, store, views, clock, offset};
+}
+
+function settle(ms = SETTLE_MS): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, ms));
+}
+
+const LED = {phase: 'settled', primary: 'a'};
+
+describe('FleetTask', () => {
+  // Guards against the use of a primary by a VM of which the author of a change
+  // cannot know: it must have read all rows up to its own registration.
+  it('has joined only after it read its own registration', async () => {
+    const {store, views} = start(fake => fake.put('leadership/wash', LED));
+    await settle();
+    const states = views.map(view => {
+      const own = view.rows.vms.get('vm-a');
+      const isRead = own !== undefined && own.version <= view.version;
+      return `${own ? (isRead ? 'read' : 'written') : 'absent'}: ${view.joined}`;
+    });
+    expect([...new Set(states)]).toMatchSnapshot();
+    expect(store.rows.has('vm/vm-a')).toBe(true);
+  });
+
+  // Guards against a right that outlives its proof when the store is away.
+  it('loses the right when the store stays away', async () => {
+    const {store, views, clock, offset} = start(fake =>
+      fake.put('leadership/wash', LED),
+    );
+    await settle(80);
+    const kindNow = (): string => {
+      const view = views.at(-1);
+      if (!view) return 'no view';
+      const leadership = view.rows.leadership.get('wash');
+      return rightOf(view, leadership, clock()).kind;
+    };
+    const before = kindNow();
+    store.mood = 'down';
+    await settle();
+    offset.ms += 9_000;
+    const late = kindNow();
+    offset.ms += 1_500;
+    expect({before, late, after: kindNow()}).toEqual({
+      before: 'granted',
+      late: 'granted',
+      after: 'denied',
+    });
+  });
+
+  // Guards against a VM that was declared lost and still spends its share.
+  it('takes a revoked share again before it spends it', async () => {
+    const {store, views, clock} = start(fake =>
+      fake.put('shares', {'vm-a': {ppm: 500_000, revokedAt: 5}}),
+    );
+    await settle(120);
+    const [first] = views;
+    const last = views.at(-1);
+    expect({
+      first: first && shareOf(first, 'vm-a', clock()),
+      last: last && shareOf(last, 'vm-a', clock()),
+      row: store.rows.get('shares')?.value,
+    }).toMatchSnapshot();
+  });
+
+  // Guards against a peer's older knowledge that replaces newer rows.
+  it('takes over what a peer knows, but nothing older', async () => {
+    const {task, store, views, clock} = start();
+    await settle();
+    store.mood = 'down';
+    const relay = (version: number, primary: string): void => {
+      const now = clock();
+      const relayed: RelayedRows = {
+        rows: [
+          ...store.rows.values(),
+          {
+            key: 'leadership/wash',
+            value: JSON.stringify({phase: 'settled', primary}),
+            version,
+          },
+        ],
+        version,
+        asOfStoreMs: now + 1_000_000,
+        earliestStoreMs: now + 1_000_000,
+        latestStoreMs: now + 1_000_000,
+      };
+      task.tell({kind: 'relayed', relayed, sentAt: now, receivedAt: now});
+    };
+    relay(900, 'b');
+    relay(800, 'a');
+    await settle();
+    const view = views.at(-1);
+    const proven = view && isProven(view, clock());
+    const record = view?.rows.leadership.get('wash')?.record;
+    expect({record, proven, version: view?.version}).toMatchSnapshot();
+  });
+});
--- /dev/null
+++ b/packages/gateway/src/leadership/__tests__/move.test.ts
@@ -0,0 +1,205 @@
+import {afterEach, describe, expect, it} from 'vitest';
+import {UNKNOWN_STORE_CLOCK, fail, ok} from '@pistachiorill/core';
+import type {MoveReason, Random} from '@pistachiorill/core';
+import {PeerSet} from '../../peers/peer_set.js';
+import {PrimaryOrders} from '../../ports/primary_orders.js';
+import type {OrderError, PromotionOrder} from '../../ports/primary_orders.js';
+import {decodeRows} from '../../fleet/fleet_rows.js';
+import type {FleetView} from '../../fleet/fleet_view.js';
+import {
+  FakeGroup,
+  listedMember,
+  silentLogger,
+} from '../../testing/fake_group.js';
+import {FakeStore} from '../../testing/fake_store.js';
+import {Move} from '../move.js';
+
+type OrderMood = 'done' | 'rejected-once' | 'answer-lost-once';
+
+/** Promotes fake members; the answer to an order may be lost. */
+class FakeOrders extends PrimaryOrders {
+  readonly given: string[] = [];
+  mood: OrderMood = 'done';
+
+  constructor(private readonly group: FakeGroup) {
+    super();
+  }
+
+  override async promote({member, holder, fence}: PromotionOrder) {
+    this.given.push(`${member} by ${holder}, ${fence}`);
+    const {mood} = this;
+    this.mood = 'done';
+    const err: OrderError = {kind: 'rejected', detail: 'not running'};
+    if (mood === 'rejected-once') return fail(err);
+    const promoted = this.group.member(member);
+    if (promoted.role !== 'primary') {
+      promoted.role = 'primary';
+      promoted.term++;
+    }
+    if (mood === 'answer-lost-once') {
+      const lost: OrderError = {kind: 'unknown-outcome', detail: 'lost'};
+      return fail(lost);
+    }
+    return ok(undefined);
+  }
+}
+
+/** Peers whose answers to a stop are scripted. */
+class FakePeers extends PeerSet {
+  readonly asked: string[] = [];
+  readonly silent = new Set<string>();
+
+  override async stopPrimary(vm: string) {
+    this.asked.push(vm);
+    if (this.silent.has(vm)) {
+      return fail({kind: 'no-answer' as const, detail: 'silent'});
+    }
+    return ok({seen: null});
+  }
+}
+
+let group: FakeGroup | undefined;
+
+afterEach(() => group?.close());
+
+function start(reason: MoveReason, peersOfFleet: readonly string[] = []) {
+  const fake = new FakeGroup();
+  group = fake;
+  const offset = {ms: 0};
+  const clock = (): number => performance.now() + offset.ms;
+  const store = new FakeStore(clock);
+  for (const vm of ['vm-a', ...peersOfFleet]) {
+    const entry = {peers: 'x:1', dataCentre: 'macon', incarnation: vm};
+    store.put(`vm/${vm}`, entry);
+  }
+  store.put('leadership/wash', {phase: 'settled', primary: 'a'});
+  const takenAt = clock() + 1_000_000;
+  store.put('duty', {holder: 'vm-a', fence: 4, takenAt});
+  const peers = new FakePeers({fraction: () => 0} as unknown as Random);
+  const orders = new FakeOrders(fake);
+  const view = (): FleetView => ({
+    rows: decodeRows(store.rows.values(), () => undefined),
+    version: store.version,
+    proof: {asOfStoreMs: clock() + 1_000_000},
+    storeClock: {
+      ...UNKNOWN_STORE_CLOCK,
+      minOffset: 1_000_000,
+      maxOffset: 1_000_000,
+    },
+    joined: 'joined',
+  });
+  const move = new Move(
+    {group: 'wash', from: 'a', reason},
+    {
+      vm: 'vm-a',
+      database: fake.task,
+      view,
+      members: () => ['a', 'b', 'c'].map(name => listedMember(name)),
+      isEligible: () => true,
+      isNear: member => member.member === 'c',
+      synchronousReplicas: () => 0,
+      transact: transaction => store.transact(transaction),
+      peers,
+      orders,
+      clock,
+      log: silentLogger(),
+    },
+  );
+  const result = async () => ({
+    outcome: await move.run(4),
+    orders: orders.given,
+    record: store.rows.get('leadership/wash')?.value,
+  });
+  return {fake, store, peers, orders, offset, result};
+}
+
+type Started = ReturnType<typeof start>;
+
+const CASES: ReadonlyArray<
+  readonly [string, MoveReason, (started: Started) => void]
+> = [
+  [
+    'a primary that is dark',
+    'unreachable',
+    ({fake}) => (fake.member('a').mood = 'silent'),
+  ],
+  [
+    'the member with the longer log',
+    'unreachable',
+    ({fake}) => {
+      fake.member('a').mood = 'silent';
+      fake.member('b').received = {term: 1, position: 12};
+    },
+  ],
+  ['a primary that leaves', 'leaving', () => undefined],
+  [
+    'an order whose answer is lost',
+    'unreachable',
+    ({fake, orders}) => {
+      fake.member('a').mood = 'silent';
+      orders.mood = 'answer-lost-once';
+    },
+  ],
+  [
+    'an order that is rejected',
+    'unreachable',
+    ({fake, orders}) => {
+      fake.member('a').mood = 'silent';
+      orders.mood = 'rejected-once';
+    },
+  ],
+  [
+    'a move that was left after its order took effect',
+    'unreachable',
+    ({fake, store}) => {
+      store.put('leadership/wash', {
+        phase: 'moving',
+        from: 'a',
+        reason: 'unreachable',
+      });
+      for (const name of ['a', 'b', 'c']) fake.member(name).term = 2;
+      fake.member('a').role = 'replica';
+      fake.member('b').role = 'primary';
+    },
+  ],
+  [
+    'a primary that was replaced already',
+    'unreachable',
+    ({store}) => store.put('leadership/wash', {phase: 'settled', primary: 'c'}),
+  ],
+  [
+    'a duty that another VM took',
+    'unreachable',
+    ({store}) =>
+      store.put('duty', {holder: 'vm-b', fence: 5, takenAt: 1_000_000}),
+  ],
+];
+
+describe('Move', () => {
+  // Guards against two promotions, an order without the duty, and a move that
+  // never ends.
+  it.each(CASES)('%s', async (unusedName, reason, setup) => {
+    const started = start(reason);
+    setup(started);
+    expect(await started.result()).toMatchSnapshot();
+  });
+
+  // Guards against a promotion while a VM may still use the former primary.
+  it('waits until a silent VM has lost its right', async () => {
+    const started = start('unreachable', ['vm-b', 'vm-c']);
+    started.fake.member('a').mood = 'silent';
+    started.peers.silent.add('vm-c');
+    const running = started.result();
+    await new Promise(resolve => setTimeout(resolve, 400));
+    const early = [...started.orders.given];
+    started.offset.ms = 10_500;
+    const {outcome, orders} = await running;
+    expect({
+      early,
+      outcome,
+      orders: orders.length > 0,
+      asked: [...new Set(started.peers.asked)],
+      listed: [...started.store.rows.keys()].filter(key => /^vm/.test(key)),
+    }).toMatchSnapshot();
+  });
+});
--- /dev/null
+++ b/packages/gateway/src/testing/fake_store.ts
@@ -0,0 +1,95 @@
+import {fail, ok} from '@pistachiorill/core';
+import type {Result} from '@pistachiorill/core';
+import {TransactionalStore} from '@pistachiorill/store';
+import type {
+  RowTransaction,
+  StoreReadError,
+  StoreWriteError,
+  TableAnswer,
+  TableRow,
+  TransactionAnswer,
+} from '@pistachiorill/store';
+
+export type StoreMood = 'answers' | 'down' | 'loses-answers';
+
+/** A store in memory whose clock is 1,000 s ahead of the caller's. */
+export class FakeStore extends TransactionalStore {
+  readonly rows = new Map<string, TableRow>();
+  version = 1;
+  mood: StoreMood = 'answers';
+  private readonly history: Array<{key: string; version: number}> = [];
+  private waiters: Array<() => void> = [];
+
+  constructor(private readonly clock: () => number) {
+    super();
+  }
+
+  put(key: string, value: object): void {
+    this.version++;
+    const row = {key, value: JSON.stringify(value), version: this.version};
+    this.rows.set(key, row);
+    this.history.push({key, version: this.version});
+    for (const wake of this.waiters.splice(0)) wake();
+  }
+
+  override async readAll(): Promise<Result<TableAnswer, StoreReadError>> {
+    if (this.mood === 'down') return fail({kind: 'unavailable', detail: ''});
+    return ok(this.answer([...this.rows.values()], []));
+  }
+
+  override async changes(
+    after: number,
+    waitMs: number,
+  ): Promise<Result<TableAnswer, StoreReadError>> {
+    if (this.mood === 'down') return fail({kind: 'unavailable', detail: ''});
+    if (this.version <= after) {
+      await new Promise<void>(resolve => {
+        const timer = setTimeout(resolve, Math.min(waitMs, 50));
+        this.waiters.push(() => {
+          clearTimeout(timer);
+          resolve();
+        });
+      });
+    }
+    const keys = new Set(
+      this.history.filter(item => item.version > after).map(item => item.key),
+    );
+    const rows = [...keys].flatMap(key => this.rows.get(key) ?? []);
+    const removed = [...keys].filter(key => !this.rows.has(key));
+    return ok(this.answer(rows, removed));
+  }
+
+  override async transact({
+    expected,
+    puts,
+    removals = [],
+  }: RowTransaction): Promise<Result<TransactionAnswer, StoreWriteError>> {
+    if (this.mood === 'down') return fail({kind: 'unavailable', detail: ''});
+    for (const [key, version] of expected) {
+      const current = this.rows.get(key)?.version ?? 0;
+      if (current !== version) return fail({kind: 'conflict'});
+    }
+    for (const key of removals) {
+      this.rows.delete(key);
+      this.history.push({key, version: ++this.version});
+    }
+    for (const [key, value] of puts) this.put(key, JSON.parse(value));
+    for (const wake of this.waiters.splice(0)) wake();
+    if (this.mood === 'loses-answers') {
+      return fail({kind: 'unknown-outcome', detail: 'lost'});
+    }
+    return ok({version: this.version, ...this.timing()});
+  }
+
+  private answer(
+    rows: readonly TableRow[],
+    removed: readonly string[],
+  ): TableAnswer {
+    return {rows, removed, version: this.version, ...this.timing()};
+  }
+
+  private timing() {
+    const now = this.clock();
+    return {storeMs: now + 1_000_000, sentAt: now, receivedAt: now};
+  }
+}
