Share sleep, remove unused methods, and let stand-ins bear a reset

Cause: five copies of one function; two methods without a caller.

Change: sleep is in packages/tasks; the stand-ins listen for errors. No check changed.

--- a/packages/entry/src/membership/__tests__/membership_task.test.ts
+++ b/packages/entry/src/membership/__tests__/membership_task.test.ts
@@ -152,7 +152,10 @@
     ['silence', 0, 'suspect'],
     ['silence during a pause of this VM', 5_000, 'alive'],
   ] as const)('%s', async (unusedName, pauseMs, expected) => {
-    const silent = createServer();
+    const silent = createServer(socket => {
+      // The caller resets a connection whose request timed out.
+      socket.on('error', () => undefined);
+    });
     closers.push(() => void silent.close());
     await new Promise<void>(resolve =>
       silent.listen(PORT, '127.0.2.3', resolve),
--- a/packages/gateway/src/daemon/gateway_daemon.ts
+++ b/packages/gateway/src/daemon/gateway_daemon.ts
@@ -9,7 +9,7 @@
   TransactionalStore,
 } from '@pistachiorill/store';
 import type {Result} from '@pistachiorill/core';
-import {Pipeline, ask} from '@pistachiorill/tasks';
+import {Pipeline, ask, sleep} from '@pistachiorill/tasks';
 import type {Logger} from '@pistachiorill/telemetry';
 import {SuspensionClock, SystemClocks} from '../clock/suspension_clock.js';
 import {DatabaseSet} from './database_set.js';
@@ -367,9 +367,3 @@
     this.databases.showMembers(members);
   }
 }
-
-function sleep(ms: number): Promise<void> {
-  return new Promise(resolve => {
-    setTimeout(resolve, ms);
-  });
-}
--- a/packages/gateway/src/fleet/fleet_task.ts
+++ b/packages/gateway/src/fleet/fleet_task.ts
@@ -17,7 +17,7 @@
   TransactionalStore,
 } from '@pistachiorill/store';
 import type {Result} from '@pistachiorill/core';
-import {Task} from '@pistachiorill/tasks';
+import {Task, sleep} from '@pistachiorill/tasks';
 import type {Clock, Reply} from '@pistachiorill/tasks';
 import type {Logger} from '@pistachiorill/telemetry';
 import type {PeerSet} from '../peers/peer_set.js';
@@ -380,9 +380,3 @@
     this.publish();
   }
 }
-
-function sleep(ms: number): Promise<void> {
-  return new Promise(resolve => {
-    setTimeout(resolve, ms);
-  });
-}
--- a/packages/gateway/src/leadership/move.ts
+++ b/packages/gateway/src/leadership/move.ts
@@ -11,7 +11,7 @@
   LogPosition,
   SuccessorReport,
 } from '@pistachiorill/core';
-import {ask} from '@pistachiorill/tasks';
+import {ask, sleep} from '@pistachiorill/tasks';
 import type {StatusResult} from '../database/database_message.js';
 import {DUTY_KEY, leadershipKey, vmKey} from '../fleet/fleet_rows.js';
 import type {ListedMember} from '../ports/member_directory.js';
@@ -364,9 +364,3 @@
   if (!a || !b) return a ?? b;
   return compareLogPosition(a, b) >= 0 ? a : b;
 }
-
-function sleep(ms: number): Promise<void> {
-  return new Promise(resolve => {
-    setTimeout(resolve, ms);
-  });
-}
--- a/packages/gateway/src/operators/configuration_task.ts
+++ b/packages/gateway/src/operators/configuration_task.ts
@@ -1,4 +1,4 @@
-import {Task} from '@pistachiorill/tasks';
+import {Task, sleep} from '@pistachiorill/tasks';
 import type {Logger} from '@pistachiorill/telemetry';
 import type {
   ConfigurationSource,
@@ -125,9 +125,3 @@
     this.tools.onApplied(state);
   }
 }
-
-function sleep(ms: number): Promise<void> {
-  return new Promise(resolve => {
-    setTimeout(resolve, ms);
-  });
-}
--- a/packages/gateway/src/quota/quota_task.ts
+++ b/packages/gateway/src/quota/quota_task.ts
@@ -1,6 +1,5 @@
 import {
   accrueTokens,
-  demandAt,
   emptyBucket,
   noteDemand,
   peersToAsk,
@@ -323,10 +322,4 @@
       this.tell({kind: 'tick'});
     }, TICK_MS);
   }
-
-  /** The present demand of a workspace, for tests and status. */
-  demandOf(workspace: string): number {
-    const account = this.accounts.get(workspace);
-    return account ? demandAt(account.bucket, this.tools.clock()) : 0;
-  }
 }
--- a/packages/gateway/src/session/open_transaction.ts
+++ b/packages/gateway/src/session/open_transaction.ts
@@ -1,6 +1,5 @@
 import {fail, ok} from '@pistachiorill/core';
 import type {
-  LogPosition,
   PreparedStatement,
   Result,
   SessionValues,
@@ -75,11 +74,6 @@
     this.database.tell({kind: 'release', lease: this.lease});
   }
 
-  /** The log position that the transaction's member reported last. */
-  positionOf(answer: MemberAnswer): LogPosition | undefined {
-    return answer.applied;
-  }
-
   private abandon(): void {
     this.lease.connection.tell({kind: 'close'});
     this.end();
--- a/packages/gateway/src/session/place_filter.ts
+++ b/packages/gateway/src/session/place_filter.ts
@@ -1,6 +1,6 @@
 import {Filter, fail, ok} from '@pistachiorill/core';
 import type {Result, StatementEffect} from '@pistachiorill/core';
-import {ask} from '@pistachiorill/tasks';
+import {ask, sleep} from '@pistachiorill/tasks';
 import type {Clock} from '@pistachiorill/tasks';
 import type {Logger} from '@pistachiorill/telemetry';
 import type {LeaseValidity} from '../database/database_message.js';
@@ -95,7 +95,7 @@
     }
     const {targetMs} = statement.route;
     const hedgeMs = Math.max(HEDGE_MIN_MS, targetMs * HEDGE_TARGET_SHARE);
-    const winner = await Promise.race([first.done, delay(hedgeMs)]);
+    const winner = await Promise.race([first.done, sleep(hedgeMs)]);
     if (winner !== undefined) return winner;
     const member = first.member();
     if (member === undefined) return first.done;
@@ -265,12 +265,6 @@
   };
 }
 
-function delay(ms: number): Promise<undefined> {
-  return new Promise(resolve => {
-    setTimeout(resolve, ms, undefined);
-  });
-}
-
 /** The first placement that succeeds, or else the last that fails. */
 async function firstSuccess(
   a: Promise<Placement>,
--- a/packages/peers/src/__tests__/peer_client.test.ts
+++ b/packages/peers/src/__tests__/peer_client.test.ts
@@ -78,6 +78,8 @@
     closers.push(() => server.close());
     const aborted = new AbortController();
     const silent = createServer(socket => {
+      // The client resets a connection whose request timed out.
+      socket.on('error', () => undefined);
       closers.push(() => socket.destroy());
       // Aborts only after the request was sent.
       socket.once('data', () => aborted.abort());
--- a/packages/tasks/src/index.ts
+++ b/packages/tasks/src/index.ts
@@ -3,4 +3,5 @@
 export type {Clock} from './pipeline.js';
 export {ask} from './reply.js';
 export type {Reply} from './reply.js';
+export {sleep} from './sleep.js';
 export {Task} from './task.js';
--- /dev/null
+++ b/packages/tasks/src/sleep.ts
@@ -0,0 +1,6 @@
+/** Waits without blocking. */
+export function sleep(ms: number): Promise<undefined> {
+  return new Promise(resolve => {
+    setTimeout(resolve, ms, undefined);
+  });
+}
