--- a/packages/core/src/leadership/__tests__/suspicion.test.ts
+++ b/packages/core/src/leadership/__tests__/suspicion.test.ts
@@ -17,6 +17,10 @@
   ['some VMs reach it', {unreachable: 4, reachable: 4}],
   ['most VMs do not reach it', {unreachable: 5, reachable: 3}],
   ['others are down', {unreachable: 3, 'vm-down': 5}],
+  [
+    'a partition refuses connections to all others',
+    {unreachable: 1, 'vm-down': 5},
+  ],
   ['one of three', {unreachable: 1, unknown: 2}],
   ['the only VM', {unreachable: 1}],
   ['one of two, the other silent', {unreachable: 1, unknown: 1}],
--- a/packages/core/src/leadership/suspicion.ts
+++ b/packages/core/src/leadership/suspicion.ts
@@ -9,7 +9,8 @@
 /**
  * Decides from the VMs' views whether a primary is replaced. At least half of
  * the VMs must agree, so that VMs that are cut off from all others change
- * nothing. VMs whose process is down are not counted.
+ * nothing. VMs whose process is down are not counted, but one VM alone decides
+ * only when no other is registered, as a partition may refuse connections too.
  */
 export function judgeSuspicion(
   views: ReadonlyArray<PrimarySighting | 'vm-down'>,
@@ -17,6 +18,6 @@
   const vms = views.filter(view => view !== 'vm-down');
   const against = vms.filter(view => view === 'unreachable').length;
   const inFavour = vms.filter(view => view === 'reachable').length;
-  const quorum = Math.max(Math.min(2, vms.length), vms.length / 2);
+  const quorum = Math.max(Math.min(2, views.length), vms.length / 2);
   return against >= quorum && against > inFavour ? 'replace' : 'keep';
 }
