--- a/packages/gateway/src/leadership/move.ts
+++ b/packages/gateway/src/leadership/move.ts
@@ -28,10 +28,6 @@
 /** An order that has not taken effect by then is given again. */
 const EFFECT_WAIT_MS = 2_500;
 const STORE_RETRY_MS = 150;
-/**
- * When VMs took longer than this to stop, the primary may be reachable again.
- */
-const LONG_STOP_MS = 1_000;
 /** A move that cannot go on is given up, and another VM may take it over. */
 const MOVE_LIMIT_MS = 20_000;
 
@@ -39,8 +35,6 @@
 interface Announced {
   readonly version: number;
   readonly storeMs: number;
-  /** Whether an earlier holder may have given an order. */
-  readonly origin: 'own-move' | 'taken-over';
 }
 
 /**
@@ -63,13 +57,7 @@
     this.fence = fence;
     const announced = await this.announce();
     if (!announced) return 'lost';
-    const stoppingSince = this.tools.clock();
     const seen = await this.stopAll(announced);
-    const isLong = this.tools.clock() - stoppingSince > LONG_STOP_MS;
-    if (isLong && announced.origin === 'own-move') {
-      const reverted = await this.revertIfBack();
-      if (reverted) return reverted;
-    }
     return this.promoteSuccessor(seen);
   }
 
@@ -95,8 +83,7 @@
       });
       if (result.ok) {
         this.log('announced', {version: result.value.version});
-        const origin = record.phase === 'settled' ? 'own-move' : 'taken-over';
-        return {...result.value, origin};
+        return result.value;
       }
       this.log('announce-failed', {err: result.err});
       await sleep(STORE_RETRY_MS);
@@ -187,18 +174,6 @@
     return mayStillHoldRight(announced.storeMs, earliest);
   }
 
-  /**
-   * Keeps a primary that answers again and that no order has replaced: a
-   * promotion would drop commits that the others have not received.
-   */
-  private async revertIfBack(): Promise<MoveOutcome | undefined> {
-    const {from, reason} = this.request;
-    if (reason !== 'unreachable') return undefined;
-    const former = await this.statusOf(from);
-    if (!former.ok || former.value.role !== 'primary') return undefined;
-    return (await this.settle(from)) === 'settled' ? 'reverted' : 'lost';
-  }
-
   private async promoteSuccessor(
     seen: LogPosition | undefined,
   ): Promise<MoveOutcome> {
