Return to a former primary only under an unchanged duty

Change: that return is written under the condition that the duty is still held under the same number since the move was announced.

Ruled out: the order itself, which was checked against the duty already.

--- a/packages/gateway/src/leadership/__tests__/move.test.ts
+++ b/packages/gateway/src/leadership/__tests__/move.test.ts
@@ -184,6 +184,25 @@
     expect(await started.result()).toMatchSnapshot();
   });
 
+  // Guards against a return to the former primary by a VM whose duty was taken
+  // over meanwhile: the next holder's order may take effect later. Found by
+  // trouble-1 --seed 362867606744 of leafmark-label on a trial of such a return.
+  it.each(['kept', 'taken'] as const)(
+    'returns to the only member that answers, duty %s',
+    async duty => {
+      const started = start('unreachable');
+      const {fake, store} = started;
+      for (const name of ['b', 'c']) fake.member(name).mood = 'silent';
+      const running = started.result();
+      await new Promise(resolve => setTimeout(resolve, 1_500));
+      if (duty === 'taken') {
+        store.put('duty', {holder: 'vm-b', fence: 5, takenAt: 1_000_000});
+        setTimeout(() => (started.offset.ms = 30_000), 2_000);
+      }
+      expect(await running).toMatchSnapshot();
+    },
+  );
+
   // Guards against a promotion while a VM may still use the former primary.
   it('waits until a silent VM has lost its right', async () => {
     const started = start('unreachable', ['vm-b', 'vm-c']);
--- a/packages/gateway/src/leadership/move.ts
+++ b/packages/gateway/src/leadership/move.ts
@@ -35,6 +35,8 @@
 interface Announced {
   readonly version: number;
   readonly storeMs: number;
+  /** Whether an earlier holder may have given an order. */
+  readonly origin: 'own-move' | 'taken-over';
 }
 
 /**
@@ -58,7 +60,7 @@
     const announced = await this.announce();
     if (!announced) return 'lost';
     const seen = await this.stopAll(announced);
-    return this.promoteSuccessor(seen);
+    return this.promoteSuccessor(announced, seen);
   }
 
   /** Records that the group moves, unless a former holder already did. */
@@ -83,7 +85,8 @@
       });
       if (result.ok) {
         this.log('announced', {version: result.value.version});
-        return result.value;
+        const origin = record.phase === 'settled' ? 'own-move' : 'taken-over';
+        return {...result.value, origin};
       }
       this.log('announce-failed', {err: result.err});
       await sleep(STORE_RETRY_MS);
@@ -174,7 +177,34 @@
     return mayStillHoldRight(announced.storeMs, earliest);
   }
 
+  /**
+   * Keeps the former primary, which nobody else can succeed now. Another holder
+   * may have ordered a promotion that takes effect later, so the duty must not
+   * have changed hands since this move was announced.
+   */
+  private async revert(announced: Announced): Promise<MoveOutcome | undefined> {
+    const {group, from} = this.request;
+    const {duty, leadership} = this.tools.view().rows;
+    const current = leadership.get(group);
+    const isOwn =
+      announced.origin === 'own-move' &&
+      duty?.value.holder === this.tools.vm &&
+      duty.value.fence === this.fence;
+    if (!isOwn || current?.record.phase !== 'moving') return undefined;
+    const record = {phase: 'settled', primary: from};
+    const result = await this.tools.transact({
+      expected: new Map([
+        [leadershipKey(group), current.version],
+        [DUTY_KEY, duty.version],
+      ]),
+      puts: new Map([[leadershipKey(group), JSON.stringify(record)]]),
+    });
+    this.log('reverted', {result: result.ok ? 'done' : result.err});
+    return result.ok ? 'reverted' : undefined;
+  }
+
   private async promoteSuccessor(
+    announced: Announced,
     seen: LogPosition | undefined,
   ): Promise<MoveOutcome> {
     const {from, reason} = this.request;
@@ -213,7 +243,8 @@
         former.value.role === 'primary' &&
         now - choosingSince > EFFECT_WAIT_MS
       ) {
-        return (await this.settle(from)) === 'settled' ? 'reverted' : 'lost';
+        const outcome = await this.revert(announced);
+        if (outcome) return outcome;
       }
       await sleep(STATUS_INTERVAL_MS);
     }
