Use the project's word for a member's remaining warm-up

Cause: a field of the platform's interface stood outside the adapter, and the test of names had an exception for it.

--- a/packages/gateway/src/database/member_table.ts
+++ b/packages/gateway/src/database/member_table.ts
@@ -79,7 +79,7 @@
       listed.state === 'leaving' ? (entry.leavingSince ?? now) : undefined;
     entry.warmup.configure(
       view.settings.warmupPerSecond / view.vmCount,
-      now + listed.warmupLeftMs,
+      now + listed.remainingWarmupMs,
     );
     if (!this.accepts(listed)) entry.pool.drain();
   }
--- a/packages/gateway/src/ports/member_directory.ts
+++ b/packages/gateway/src/ports/member_directory.ts
@@ -11,7 +11,7 @@
   readonly role: MemberRole;
   readonly slots: number;
   /** How long it still warms up. */
-  readonly warmupLeftMs: number;
+  readonly remainingWarmupMs: number;
 }
 
 /** Lists the members that registered themselves. */
--- a/packages/gateway/src/testing/fake_group.ts
+++ b/packages/gateway/src/testing/fake_group.ts
@@ -24,7 +24,7 @@
     state: 'ready',
     role: 'replica',
     slots: 2,
-    warmupLeftMs: 0,
+    remainingWarmupMs: 0,
     ...more,
   };
 }
