Let the membership tests choose their ports

Cause: two runs of the tests on one machine failed with EADDRINUSE on 127.0.2.3:42191, a fixed port. Ruled out: a fault of MembershipTask, whose checks are unchanged.

--- a/packages/entry/src/membership/__tests__/membership_task.test.ts
+++ b/packages/entry/src/membership/__tests__/membership_task.test.ts
@@ -1,4 +1,5 @@
 import {createServer} from 'node:net';
+import type {AddressInfo, Server} from 'node:net';
 import {Random, fail} from '@pistachiorill/core';
 import type {PeerRecord, Versions} from '@pistachiorill/core';
 import {PeerServer, servedPeers} from '@pistachiorill/peers';
@@ -21,11 +22,25 @@
 const NO_VERSIONS: Versions = {configuration: 0, ledger: 0};
 
 /** VMs differ by their loopback address. */
-function record(vm: string, host: number): PeerRecord {
-  const address = `127.0.2.${host}:${PORT}`;
+function record(vm: string, host: number, port = PORT): PeerRecord {
+  const address = `127.0.2.${host}:${port}`;
   return {vm, dataCentre: vm[0] ?? '', address, instance: `i-${vm}`};
 }
 
+/** Listens on a port of the system's choice, as tests may run side by side. */
+async function listenAnywhere(server: Server, host: string): Promise<number> {
+  await new Promise<void>(resolve => server.listen(0, host, resolve));
+  return (server.address() as AddressInfo).port;
+}
+
+/** No outgoing connection takes the port, as none uses these addresses. */
+async function freePort(host: string): Promise<number> {
+  const server = createServer();
+  const port = await listenAnywhere(server, host);
+  await new Promise(resolve => server.close(resolve));
+  return port;
+}
+
 function gossipOf(
   from: PeerRecord,
   versions: Versions,
@@ -123,7 +138,7 @@
   // Guards against a VM that stays unconfirmed while the store is down for it
   // although a peer can read the store.
   it('is confirmed by the answer of a peer, until the limit', async () => {
-    const peer = record('b1', 2);
+    const peer = record('b1', 2, await freePort('127.0.2.2'));
     const own = setup(record('a1', 1));
     const other = setup(peer);
     await serve(other.task, peer.address);
@@ -157,11 +172,9 @@
       socket.on('error', () => undefined);
     });
     closers.push(() => void silent.close());
-    await new Promise<void>(resolve =>
-      silent.listen(PORT, '127.0.2.3', resolve),
-    );
+    const port = await listenAnywhere(silent, '127.0.2.3');
     const own = setup(record('a1', 1));
-    await own.probed(gossipOf(record('b1', 3), NO_VERSIONS, null));
+    await own.probed(gossipOf(record('b1', 3, port), NO_VERSIONS, null));
     own.task.tell({kind: 'tick'});
     await own.status();
     own.time.now += pauseMs;
