Keep a primary that is back, and the duty while a move waits

Change: the holder extends its duty while it waits. When the stops took over a second, the primary says that it leads and the VMs are asked anew and do not call it unreachable, the record returns to it, under the condition that this move announced itself and the duty never changed hands.

--- a/packages/gateway/src/database/database_task.ts
+++ b/packages/gateway/src/database/database_task.ts
@@ -298,10 +298,14 @@
     this.tools.onSuspect(this.group, primary, since);
   }
 
-  /** Says how the primary looks, and asks it where nothing is known. */
+  /**
+   * Says how the primary looks, or the one that is being replaced, and asks it
+   * where nothing is known.
+   */
   private async sight(reply: Reply<PrimarySighting>): Promise<void> {
     const record = this.leadership?.record;
-    const primary = record?.phase === 'settled' ? record.primary : '';
+    const primary =
+      (record?.phase === 'settled' ? record.primary : record?.from) ?? '';
     if (!this.members.listed(primary)) {
       reply.answer('unknown');
       return;
--- a/packages/gateway/src/leadership/__tests__/move.test.ts
+++ b/packages/gateway/src/leadership/__tests__/move.test.ts
@@ -1,6 +1,6 @@
 import {afterEach, describe, expect, it} from 'vitest';
 import {UNKNOWN_STORE_CLOCK, fail, ok} from '@pistachiorill/core';
-import type {MoveReason, Random} from '@pistachiorill/core';
+import type {MoveReason, Random, SuspicionVerdict} from '@pistachiorill/core';
 import {PeerSet} from '../../peers/peer_set.js';
 import {PrimaryOrders} from '../../ports/primary_orders.js';
 import type {OrderError, PromotionOrder} from '../../ports/primary_orders.js';
@@ -66,6 +66,7 @@
   const fake = new FakeGroup();
   group = fake;
   const offset = {ms: 0};
+  const verdicts: SuspicionVerdict[] = [];
   const clock = (): number => performance.now() + offset.ms;
   const store = new FakeStore(clock);
   for (const vm of ['vm-a', ...peersOfFleet]) {
@@ -98,6 +99,7 @@
       isEligible: () => true,
       isNear: member => member.member === 'c',
       synchronousReplicas: () => 0,
+      judge: async () => verdicts.shift() ?? 'replace',
       transact: transaction => store.transact(transaction),
       peers,
       orders,
@@ -110,7 +112,7 @@
     orders: orders.given,
     record: store.rows.get('leadership/wash')?.value,
   });
-  return {fake, store, peers, orders, offset, result};
+  return {fake, store, peers, orders, offset, verdicts, clock, result};
 }
 
 type Started = ReturnType<typeof start>;
@@ -221,4 +223,54 @@
       listed: [...started.store.rows.keys()].filter(key => /^vm/.test(key)),
     }).toMatchSnapshot();
   });
+
+  // Guards against a promotion over a primary that is back when the VMs behind
+  // a partition can be asked again, which drops its commits, and against such a
+  // return while the primary is still out of reach or after the duty was lost.
+  it.each([
+    ['back', 'keep', 'kept'],
+    ['back for too few', 'replace', 'kept'],
+    ['back after the duty was lost', 'keep', 'taken'],
+  ] as const)('a primary that is %s', async (unusedName, verdict, duty) => {
+    const started = start('unreachable', ['vm-b', 'vm-c']);
+    const {peers, store, offset, orders} = started;
+    started.verdicts.push(verdict);
+    peers.silent.add('vm-c');
+    const running = started.result();
+    await new Promise(resolve => setTimeout(resolve, 300));
+    offset.ms = 1_500;
+    if (duty === 'taken') {
+      store.put('duty', {holder: 'vm-b', fence: 5, takenAt: 1_000_000});
+      setTimeout(() => (offset.ms = 30_000), 2_000);
+    }
+    peers.silent.clear();
+    const {outcome, record} = await running;
+    expect({outcome, record, orders: orders.given}).toMatchSnapshot();
+  });
+
+  // Guards against a second VM that carries on the same move, as the duty of
+  // the first ends while it waits for a VM that it cannot reach.
+  it('extends the duty while it waits', async () => {
+    const started = start('unreachable', ['vm-b']);
+    const {peers, store, offset, clock} = started;
+    started.verdicts.push('keep');
+    store.put('duty', {
+      holder: 'vm-a',
+      fence: 4,
+      takenAt: clock() + 1_000_000,
+    });
+    peers.silent.add('vm-b');
+    const running = started.result();
+    await new Promise(resolve => setTimeout(resolve, 200));
+    offset.ms = 4_500;
+    await new Promise(resolve => setTimeout(resolve, 500));
+    const duty = JSON.parse(store.rows.get('duty')?.value ?? '');
+    expect({
+      holder: duty.holder,
+      fence: duty.fence,
+      isExtended: duty.takenAt > 1_000_000 + clock() - 1_000,
+    }).toMatchSnapshot();
+    peers.silent.clear();
+    expect(await running).toMatchObject({outcome: 'reverted'});
+  });
 });
--- a/packages/gateway/src/leadership/leadership_task.ts
+++ b/packages/gateway/src/leadership/leadership_task.ts
@@ -10,6 +10,7 @@
   DutyRecord,
   MoveReason,
   PrimarySighting,
+  SuspicionVerdict,
 } from '@pistachiorill/core';
 import {Task, ask} from '@pistachiorill/tasks';
 import type {DatabaseTask} from '../database/database_task.js';
@@ -52,7 +53,7 @@
 
 export interface LeadershipTools extends Omit<
   MoveTools,
-  'database' | 'members' | 'synchronousReplicas'
+  'database' | 'members' | 'synchronousReplicas' | 'judge'
 > {
   readonly groups: () => readonly string[];
   readonly database: (group: string) => DatabaseTask | undefined;
@@ -218,13 +219,29 @@
     this.judged.set(group, {at: now, waitMs});
   }
 
-  /** Asks all VMs how they see a primary, and acts on what most say. */
+  /** Acts on what most VMs say of a primary. */
   private async judge(group: string, since: number): Promise<void> {
-    const {clock, peers, view, log} = this.tools;
+    const {clock, view} = this.tools;
     const record = view().rows.leadership.get(group)?.record;
-    const database = this.tools.database(group);
-    if (record?.phase !== 'settled' || !database) return;
+    if (record?.phase !== 'settled') return;
     this.noteJudgement(group, clock());
+    if ((await this.verdictOn(group, record.primary)) === 'keep') return;
+    const concern: Concern = {
+      reason: 'unreachable',
+      from: record.primary,
+      since,
+    };
+    await this.startMove(group, concern);
+  }
+
+  /** Asks all VMs how they see a primary. */
+  private async verdictOn(
+    group: string,
+    primary: string,
+  ): Promise<SuspicionVerdict> {
+    const {peers, log} = this.tools;
+    const database = this.tools.database(group);
+    if (!database) return 'keep';
     const views: Array<PrimarySighting | 'vm-down'> = await Promise.all([
       ask<PrimarySighting>(reply => database.tell({kind: 'sight', reply})),
       ...peers.names.map(async name => {
@@ -236,16 +253,10 @@
     ]);
     const verdict = judgeSuspicion(views);
     log.info(
-      {event: 'primary.judged', group, primary: record.primary, views, verdict},
+      {event: 'primary.judged', group, primary, views, verdict},
       'primary suspected',
     );
-    if (verdict === 'keep') return;
-    const concern: Concern = {
-      reason: 'unreachable',
-      from: record.primary,
-      since,
-    };
-    await this.startMove(group, concern);
+    return verdict;
   }
 
   private async startMove(
@@ -266,6 +277,7 @@
         database,
         members: () => this.tools.members(group),
         synchronousReplicas: () => this.tools.synchronousReplicas(group),
+        judge: () => this.verdictOn(group, from),
       },
     );
     let outcome: MoveOutcome = 'given-up';
--- a/packages/gateway/src/leadership/move.ts
+++ b/packages/gateway/src/leadership/move.ts
@@ -28,6 +28,8 @@
 /** An order that has not taken effect by then is given again. */
 const EFFECT_WAIT_MS = 2_500;
 const STORE_RETRY_MS = 150;
+/** A primary that was out of reach for this long before a move may be back. */
+const JUDGE_AGAIN_AFTER_MS = 1_000;
 /** A move that cannot go on is given up, and another VM may take it over. */
 const MOVE_LIMIT_MS = 20_000;
 
@@ -60,7 +62,26 @@
     const announced = await this.announce();
     if (!announced) return 'lost';
     const seen = await this.stopAll(announced);
-    return this.promoteSuccessor(announced, seen);
+    const kept = await this.keepIfBack(announced);
+    return kept ?? this.promoteSuccessor(announced, seen);
+  }
+
+  /**
+   * Keeps a primary that a partition hid until the VMs behind it could be
+   * asked to stop. A promotion would drop the commits that it made meanwhile.
+   */
+  private async keepIfBack(
+    announced: Announced,
+  ): Promise<MoveOutcome | undefined> {
+    const {from, reason} = this.request;
+    const waitedMs = this.tools.clock() - this.startedAt;
+    if (reason !== 'unreachable' || waitedMs < JUDGE_AGAIN_AFTER_MS) {
+      return undefined;
+    }
+    const former = await this.statusOf(from);
+    if (!former.ok || former.value.role !== 'primary') return undefined;
+    if ((await this.tools.judge()) === 'replace') return undefined;
+    return this.revert(announced);
   }
 
   /** Records that the group moves, unless a former holder already did. */
@@ -118,6 +139,7 @@
           seen = later(seen, answer.value.seen ?? undefined);
         }),
       );
+      await this.keepDuty();
       // VMs that left the list, or are replaced by a new process, hold nothing.
       const listed = this.tools.view().rows.vms;
       for (const vm of pending) if (!listed.has(vm)) pending.delete(vm);
@@ -320,6 +342,15 @@
     return undefined;
   }
 
+  /** Extends the duty while the move waits, so that no other VM joins in. */
+  private async keepDuty(): Promise<void> {
+    const duty = this.tools.view().rows.duty;
+    if (!duty || duty.value.fence !== this.fence) return;
+    if (this.holds(duty.value)) return;
+    const outcome = (await this.extendDuty()) ? 'extended' : 'lost';
+    this.log('duty', {outcome});
+  }
+
   private async extendDuty(): Promise<boolean> {
     const view = this.tools.view();
     const duty = view.rows.duty;
--- a/packages/gateway/src/leadership/move_tools.ts
+++ b/packages/gateway/src/leadership/move_tools.ts
@@ -1,4 +1,4 @@
-import type {MoveReason, Result} from '@pistachiorill/core';
+import type {MoveReason, Result, SuspicionVerdict} from '@pistachiorill/core';
 import type {
   RowTransaction,
   StoreWriteError,
@@ -29,6 +29,8 @@
   readonly isEligible: (member: ListedMember) => boolean;
   readonly isNear: (member: ListedMember) => boolean;
   readonly synchronousReplicas: () => number;
+  /** Asks the VMs anew how they see the member that is replaced. */
+  readonly judge: () => Promise<SuspicionVerdict>;
   readonly transact: (
     transaction: RowTransaction,
   ) => Promise<Result<TransactionAnswer, StoreWriteError>>;
