Count the tokens of a VM from the start of its process

Cause: after a restart of all VMs a workspace is refused within its rate, as accounts began empty with the first configuration, half a second after the process started. The share of a VM is nobody else's in that time and no earlier process of it runs, so it may be counted. Ruled out: a gift of tokens at the start, which another restart within the window would repeat.

--- a/packages/gateway/src/daemon/gateway_daemon.ts
+++ b/packages/gateway/src/daemon/gateway_daemon.ts
@@ -51,6 +51,8 @@
 const EXIT_RESERVE_MS = 700;
 const IDLE_CHECK_MS = 50;
 const LEAVE_TIMEOUT_MS = 400;
+/** The monotonic clock counts from the start of the process. */
+const PROCESS_START_MS = 0;
 
 /** What the gateway needs of the platform on which it runs. */
 export interface GatewayPorts {
@@ -129,6 +131,7 @@
     });
     this.quota = new QuotaTask({
       clock,
+      startedAt: PROCESS_START_MS,
       sharePpm: () => (this.view ? shareOf(this.view, vm, clock()) : 0),
       peers,
       log,
--- a/packages/gateway/src/quota/quota_task.ts
+++ b/packages/gateway/src/quota/quota_task.ts
@@ -62,6 +62,8 @@
 
 export interface QuotaTools {
   readonly clock: Clock;
+  /** When this process started, on the same clock. */
+  readonly startedAt: number;
   /** The VM's part of each rate in parts per million, 0 while unproven. */
   readonly sharePpm: () => number;
   readonly peers: PeerSet;
@@ -133,6 +135,8 @@
       }
       this.accounts.delete(workspace);
     }
+    // No earlier process of this VM spent the share after this one started.
+    const accruedFrom = this.accounts.size === 0 ? this.tools.startedAt : now;
     for (const [workspace, limit] of limits) {
       const account = this.accounts.get(workspace);
       if (account) {
@@ -141,7 +145,7 @@
       } else {
         this.accounts.set(workspace, {
           limits: limit,
-          bucket: emptyBucket(now),
+          bucket: emptyBucket(accruedFrom),
           waiting: [],
           askAt: -Infinity,
           lender: undefined,
