--- a/packages/gateway/src/database/member_pool.ts
+++ b/packages/gateway/src/database/member_pool.ts
@@ -121,7 +121,7 @@
    */
   memberFull(now: number): void {
     this.fullUntil = now + FULL_BACKOFF_MS;
-    this.learnedLimit = Math.max(this.limits.share, this.connections.size);
+    this.learnedLimit = Math.max(1, this.limits.share, this.connections.size);
     this.regrownAt = now;
   }
 
--- a/packages/gateway/src/database/member_table.ts
+++ b/packages/gateway/src/database/member_table.ts
@@ -25,6 +25,8 @@
 const BEHIND_AVOID_MS = 150;
 /** Statements that a VM runs on a member at a time, for each of its slots. */
 const STATEMENTS_PER_SLOT = 2;
+/** The part of a member's connections that all VMs together keep idle. */
+const IDLE_SHARE = 0.5;
 /** Connections of each member that stay free for control. */
 const CONTROL_CONNECTIONS = 1;
 
@@ -309,7 +311,18 @@
   );
   return {
     connections,
-    share: Math.max(1, Math.floor(connections / vmCount)),
+    share: idleShareOf(connections, vmCount),
     statements: Math.max(1, slots * STATEMENTS_PER_SLOT),
   };
 }
+
+/**
+ * The connections that a VM keeps while they are idle. All VMs together leave
+ * half of a member's connections free, as those of a VM that lost power stay
+ * open at the member for seconds. Where a member has fewer connections than
+ * there are VMs, none is kept, or the VMs would lock each other out.
+ */
+function idleShareOf(connections: number, vmCount: number): number {
+  if (vmCount > connections) return 0;
+  return Math.max(1, Math.floor((connections * IDLE_SHARE) / vmCount));
+}
