Let a change of primary wait less for VMs that are gone

The move was announced at once, which stopped the use of a primary that still served, and waited 10 s for the VM that was gone; after the loss of all processes the next move waited 10 s again. The group had no primary from 7.4 to 24.5 s. Change: a planned move is announced when all VMs answer, or 3.5 s after it was due, as its primary serves until then. A VM is declared lost after 4 s instead of 8 s of silence, and the time by which the loss was certainly written is recorded with it; a move waits for a lost VM from that time on. The share of a lost VM is given away from that time on too: the revocation could be written seconds after the time that it named (answers lost, done late), so that the wait could end early. Also: the stops of VMs have a file of their own; positions are compared by core. Ruled out: a shorter right for all, as the store may be away longer than it.

--- a/packages/core/src/quota/transfer/share_table.ts
+++ b/packages/core/src/quota/transfer/share_table.ts
@@ -8,6 +8,11 @@
    * may still spend it until its knowledge of the store has expired.
    */
   readonly revokedAt?: number;
+  /**
+   * Store time by which the revocation was certainly written. From then on the
+   * VM learns of it with its next proof.
+   */
+  readonly lostBy?: number;
 }
 
 /** The shares of all VMs; their sum is at most the whole. */
@@ -25,6 +30,13 @@
   return entry && entry.revokedAt === undefined ? entry.ppm : 0;
 }
 
+/** Whether the table still shows a revocation of which nobody can be sure. */
+export function hasUnsureRevocation(table: ShareTable): boolean {
+  return Object.values(table).some(
+    entry => entry.revokedAt !== undefined && entry.lostBy === undefined,
+  );
+}
+
 /** Whether a VM was declared lost and has not come back since. */
 export function isRevoked(table: ShareTable, vm: string): boolean {
   return table[vm]?.revokedAt !== undefined;
@@ -34,10 +46,10 @@
 export interface ShareSituation {
   readonly present: readonly string[];
   readonly lost: readonly string[];
-  /** Store time of the change. */
+  /** The latest that the store's clock can show now. */
   readonly at: number;
   /** Whether no VM can act on what it knew before a revocation any more. */
-  readonly isExpired: (revokedAt: number) => boolean;
+  readonly isExpired: (lostBy: number) => boolean;
 }
 
 /**
@@ -72,7 +84,8 @@
     return [[vm, lost.includes(vm) ? {...entry, revokedAt: at} : entry]];
   }
   if (present.includes(vm)) return [[vm, {ppm: entry.ppm}]];
-  return isExpired(entry.revokedAt) ? [] : [[vm, entry]];
+  if (entry.lostBy === undefined) return [[vm, {...entry, lostBy: at}]];
+  return isExpired(entry.lostBy) ? [] : [[vm, entry]];
 }
 
 /** Gives what nobody holds to the VMs without a share, or else to all. */
@@ -97,7 +110,10 @@
   return (
     names.length === Object.keys(b).length &&
     names.every(
-      vm => a[vm]?.ppm === b[vm]?.ppm && a[vm]?.revokedAt === b[vm]?.revokedAt,
+      vm =>
+        a[vm]?.ppm === b[vm]?.ppm &&
+        a[vm]?.revokedAt === b[vm]?.revokedAt &&
+        a[vm]?.lostBy === b[vm]?.lostBy,
     )
   );
 }
--- a/packages/core/src/routing/position_samples.ts
+++ b/packages/core/src/routing/position_samples.ts
@@ -50,6 +50,15 @@
 export function laterPosition(
   a: LogPosition,
   b: LogPosition | undefined,
-): LogPosition {
-  return b && compareLogPosition(b, a) > 0 ? b : a;
+): LogPosition;
+export function laterPosition(
+  a: LogPosition | undefined,
+  b: LogPosition | undefined,
+): LogPosition | undefined;
+export function laterPosition(
+  a: LogPosition | undefined,
+  b: LogPosition | undefined,
+): LogPosition | undefined {
+  if (!a || !b) return a ?? b;
+  return compareLogPosition(b, a) > 0 ? b : a;
 }
--- a/packages/gateway/src/fleet/fleet_rows.ts
+++ b/packages/gateway/src/fleet/fleet_rows.ts
@@ -47,7 +47,11 @@
 
 const SHARES_SCHEMA = z.record(
   z.string(),
-  z.object({ppm: z.number(), revokedAt: z.number().optional()}),
+  z.object({
+    ppm: z.number(),
+    revokedAt: z.number().optional(),
+    lostBy: z.number().optional(),
+  }),
 );
 
 /** A row's content with the version of the row. */
--- a/packages/gateway/src/fleet/share_keeper.ts
+++ b/packages/gateway/src/fleet/share_keeper.ts
@@ -1,4 +1,5 @@
 import {
+  hasUnsureRevocation,
   initialShares,
   latestStoreTime,
   earliestStoreTime,
@@ -20,9 +21,15 @@
 import type {FleetView} from './fleet_view.js';
 
 const KEEP_INTERVAL_MS = 2_000;
+/** The same until the first table is written and each loss is certain. */
+const UNSETTLED_INTERVAL_MS = 500;
 const PING_TIMEOUT_MS = 400;
-/** A VM that has not answered for this long is taken to be lost. */
-const LOST_AFTER_MS = 8_000;
+/**
+ * A VM that has not answered for this long is taken to be lost. The sooner it
+ * is, the sooner no change of primary has to wait for it; one that lives
+ * registers again.
+ */
+const LOST_AFTER_MS = 4_000;
 /** VMs start together; the first table waits until all have registered. */
 const FIRST_TABLE_AFTER_MS = 1_500;
 
@@ -64,9 +71,9 @@
     }
     if (this.phase === 'stopped') return;
     await this.keep();
-    const wait = this.tools.view().rows.shares
-      ? KEEP_INTERVAL_MS
-      : FIRST_TABLE_AFTER_MS / 3;
+    const shares = this.tools.view().rows.shares?.value;
+    const isSettled = shares && !hasUnsureRevocation(shares);
+    const wait = isSettled ? KEEP_INTERVAL_MS : UNSETTLED_INTERVAL_MS;
     this.timer = setTimeout(() => this.tell({kind: 'keep'}), wait);
   }
 
@@ -100,7 +107,7 @@
       present: names.filter(name => !lost.includes(name)),
       lost,
       at,
-      isExpired: revokedAt => !mayStillHoldRight(revokedAt, earliest),
+      isExpired: lostBy => !mayStillHoldRight(lostBy, earliest),
     });
     if (!next) return;
     const expired = shared.filter(name => !next[name]);
--- /dev/null
+++ b/packages/gateway/src/leadership/__tests__/leadership_task.test.ts
@@ -0,0 +1,121 @@
+import {afterEach, describe, expect, it} from 'vitest';
+import {UNKNOWN_STORE_CLOCK, fail, ok} from '@pistachiorill/core';
+import type {Random} from '@pistachiorill/core';
+import {PeerSet} from '../../peers/peer_set.js';
+import {decodeRows} from '../../fleet/fleet_rows.js';
+import type {FleetView} from '../../fleet/fleet_view.js';
+import {
+  FakeGroup,
+  listedMember,
+  silentLogger,
+} from '../../testing/fake_group.js';
+import {FakeStore} from '../../testing/fake_store.js';
+import {LeadershipTask} from '../leadership_task.js';
+
+/** One other VM, which answers or does not. */
+class FakePeers extends PeerSet {
+  state: 'answers' | 'silent' = 'answers';
+
+  override get names() {
+    return ['vm-b'];
+  }
+
+  override async ping() {
+    if (this.state === 'answers') return ok(undefined);
+    return fail({kind: 'no-answer' as const, detail: 'silent'});
+  }
+
+  override async stopPrimary() {
+    if (this.state === 'answers') return ok({seen: null});
+    return fail({kind: 'no-answer' as const, detail: 'silent'});
+  }
+}
+
+const closers: Array<() => void> = [];
+afterEach(() => {
+  for (const close of closers.splice(0)) close();
+});
+
+/** A VM whose group's primary leaves. */
+function start() {
+  const group = new FakeGroup();
+  const offset = {ms: 0};
+  const clock = (): number => performance.now() + offset.ms;
+  const store = new FakeStore(clock);
+  const peers = new FakePeers({fraction: () => 0} as unknown as Random);
+  for (const vm of ['vm-a', 'vm-b']) {
+    const entry = {peers: 'x:1', dataCentre: 'macon', incarnation: vm};
+    store.put(`vm/${vm}`, entry);
+  }
+  store.put('leadership/wash', {phase: 'settled', primary: 'a'});
+  const view = (): FleetView => ({
+    rows: decodeRows(store.rows.values(), () => undefined),
+    version: store.version,
+    proof: {asOfStoreMs: clock() + 1_000_000},
+    storeClock: {
+      ...UNKNOWN_STORE_CLOCK,
+      minOffset: 1_000_000,
+      maxOffset: 1_000_000,
+    },
+    joined: 'joined',
+  });
+  const task = new LeadershipTask({
+    vm: 'vm-a',
+    view,
+    groups: () => ['wash'],
+    database: () => group.task,
+    members: () => [
+      listedMember('a', {state: 'leaving', role: 'primary'}),
+      listedMember('b'),
+      listedMember('c'),
+    ],
+    isEligible: member => member.state === 'ready',
+    isNear: () => true,
+    synchronousReplicas: () => 0,
+    directory: () => 'known',
+    transact: transaction => store.transact(transaction),
+    peers,
+    orders: {
+      promote: async ({member}) => {
+        group.member(member).role = 'primary';
+        group.member(member).term++;
+        return ok(undefined);
+      },
+    },
+    clock,
+    log: silentLogger(),
+    onMoved: () => undefined,
+    onFailed: err => {
+      throw err;
+    },
+  });
+  closers.push(() => {
+    task.tell({kind: 'stop'});
+    group.close();
+  });
+  const record = (): unknown =>
+    JSON.parse(store.rows.get('leadership/wash')?.value ?? '');
+  return {task, peers, offset, record};
+}
+
+const pause = (ms: number): Promise<void> =>
+  new Promise(resolve => setTimeout(resolve, ms));
+
+describe('LeadershipTask', () => {
+  // Guards against a planned change that stops the use of a primary which
+  // still serves while it waits for a VM that is gone (inc-efc0 of
+  // leafmark-label), and against one that waits until the primary has left.
+  it.each(['answers', 'silent'] as const)(
+    'plans a change while a VM %s',
+    async state => {
+      const {task, peers, offset, record} = start();
+      peers.state = state;
+      task.tell({kind: 'review'});
+      await pause(1_500);
+      const soon = record();
+      offset.ms = 2_500;
+      await pause(700);
+      expect({soon, later: record()}).toMatchSnapshot();
+    },
+  );
+});
--- a/packages/gateway/src/leadership/__tests__/move.test.ts
+++ b/packages/gateway/src/leadership/__tests__/move.test.ts
@@ -273,4 +273,29 @@
     peers.silent.clear();
     expect(await running).toMatchObject({outcome: 'reverted'});
   });
+
+  // Guards against a move that waits its whole time for a VM that was declared
+  // lost long before (inc-efc0 of leafmark-label), and against one that counts
+  // a loss which is too recent or of which nobody can be sure.
+  it.each([
+    ['long ago', {lostByMsAgo: 9_900}],
+    ['just now', {lostByMsAgo: 2_000}],
+    ['perhaps', {lostByMsAgo: undefined}],
+  ] as const)('a VM that was lost %s', async (unusedName, {lostByMsAgo}) => {
+    const started = start('unreachable', ['vm-b']);
+    const {fake, peers, store, offset, clock, orders} = started;
+    fake.member('a').mood = 'silent';
+    peers.silent.add('vm-b');
+    const storeMs = clock() + 1_000_000;
+    const lostBy =
+      lostByMsAgo === undefined ? undefined : storeMs - lostByMsAgo;
+    const entry = {ppm: 500_000, revokedAt: storeMs - 9_900, lostBy};
+    store.put('shares', {'vm-b': entry});
+    const running = started.result();
+    await new Promise(resolve => setTimeout(resolve, 2_000));
+    const early = orders.given.length;
+    offset.ms = 10_500;
+    const {outcome} = await running;
+    expect({early, outcome}).toMatchSnapshot();
+  });
 });
--- a/packages/gateway/src/leadership/leadership_task.ts
+++ b/packages/gateway/src/leadership/leadership_task.ts
@@ -4,6 +4,7 @@
   earliestStoreTime,
   judgeSuspicion,
   latestStoreTime,
+  mayStillHoldRight,
   rendezvousOrder,
 } from '@pistachiorill/core';
 import type {
@@ -31,6 +32,12 @@
 const MAX_JUDGE_INTERVAL_MS = 2_000;
 /** A suspicion that was not raised for this long starts anew. */
 const SUSPICION_PAUSE_MS = 5_000;
+/**
+ * How long a planned change waits for VMs that do not answer, while its primary
+ * still serves. It ends before VMs stop the use of a primary that leaves.
+ */
+const PLANNED_PATIENCE_MS = 3_500;
+const PING_TIMEOUT_MS = 250;
 /** How long a primary may be missing from the directory. */
 const GONE_AFTER_MS = 1_500;
 
@@ -80,6 +87,8 @@
     {readonly at: number; readonly waitMs: number}
   >();
   private timer: NodeJS.Timeout | undefined;
+  /** Groups for whose planned change the VMs are being asked. */
+  private readonly asking = new Set<string>();
   private claiming: 'idle' | 'under-way' = 'idle';
 
   constructor(private readonly tools: LeadershipTools) {
@@ -261,10 +270,11 @@
 
   private async startMove(
     group: string,
-    {reason, from}: Concern,
+    {reason, from, since}: Concern,
   ): Promise<void> {
     const database = this.tools.database(group);
     if (this.moves.has(group) || !database) return;
+    if (reason === 'leaving' && !(await this.mayAnnounce(group, since))) return;
     // A change that is under way when the store returns may be out of date.
     if (!hearsStore(this.tools.view(), this.tools.clock())) return;
     const fence = await this.takeDuty(group);
@@ -289,6 +299,45 @@
     this.tell({kind: 'moved', group, outcome});
   }
 
+  /**
+   * Whether a planned change may be announced, after which its primary serves
+   * nobody: once all VMs can be asked to stop, or when the time is over.
+   */
+  private async mayAnnounce(group: string, since: number): Promise<boolean> {
+    const {clock, peers, view, log} = this.tools;
+    const record = view().rows.leadership.get(group)?.record;
+    if (record?.phase === 'moving') return true;
+    if (this.asking.has(group)) return false;
+    this.asking.add(group);
+    const answers = await Promise.all(
+      peers.names.map(async vm => ({
+        vm,
+        ok: (await peers.ping(vm, PING_TIMEOUT_MS)).ok,
+      })),
+    );
+    this.asking.delete(group);
+    const silent = answers.filter(item => !item.ok).map(item => item.vm);
+    const holding = silent.filter(vm => this.mayHoldRight(vm));
+    const waitedMs = Math.round(clock() - since);
+    const outcome =
+      holding.length === 0 || waitedMs >= PLANNED_PATIENCE_MS ? 'go' : 'wait';
+    if (holding.length > 0) {
+      log.info(
+        {event: 'move.planned', group, holding, waitedMs, outcome},
+        'VMs that do not answer may use the primary',
+      );
+    }
+    return outcome === 'go';
+  }
+
+  /** Whether a VM that does not answer may still use primaries. */
+  private mayHoldRight(vm: string): boolean {
+    const {rows, storeClock} = this.tools.view();
+    const lostBy = rows.shares?.value[vm]?.lostBy;
+    const earliest = earliestStoreTime(storeClock, this.tools.clock());
+    return lostBy === undefined || mayStillHoldRight(lostBy, earliest);
+  }
+
   /** Takes or extends the duty; returns its fencing number. */
   private async takeDuty(group: string): Promise<number | undefined> {
     if (this.claiming === 'under-way') return undefined;
--- a/packages/gateway/src/leadership/move.ts
+++ b/packages/gateway/src/leadership/move.ts
@@ -1,10 +1,8 @@
 import {
   chooseSuccessor,
-  compareLogPosition,
-  earliestStoreTime,
   holdsDuty,
+  laterPosition,
   latestStoreTime,
-  mayStillHoldRight,
 } from '@pistachiorill/core';
 import type {
   DutyRecord,
@@ -13,16 +11,13 @@
 } from '@pistachiorill/core';
 import {ask, sleep} from '@pistachiorill/tasks';
 import type {StatusResult} from '../database/database_message.js';
-import {DUTY_KEY, leadershipKey, vmKey} from '../fleet/fleet_rows.js';
+import {DUTY_KEY, leadershipKey} from '../fleet/fleet_rows.js';
 import type {ListedMember} from '../ports/member_directory.js';
 import type {MoveOutcome, MoveRequest, MoveTools} from './move_tools.js';
+import {VmStops} from './vm_stops.js';
+import type {Announced} from './vm_stops.js';
 
-/** How often VMs that have not answered are asked to stop again. */
-const STOP_RETRY_MS = 150;
-/** Above the time that statements may take to finish. */
-const STOP_TIMEOUT_MS = 900;
 const STATUS_INTERVAL_MS = 60;
-const VIEW_INTERVAL_MS = 10;
 const ORDER_TIMEOUT_MS = 1_000;
 const ORDER_RETRY_MS = 200;
 /** An order that has not taken effect by then is given again. */
@@ -33,14 +28,6 @@
 /** A move that cannot go on is given up, and another VM may take it over. */
 const MOVE_LIMIT_MS = 20_000;
 
-/** The store's answer to the record that announces a move. */
-interface Announced {
-  readonly version: number;
-  readonly storeMs: number;
-  /** Whether an earlier holder may have given an order. */
-  readonly origin: 'own-move' | 'taken-over';
-}
-
 /**
  * Gives a group another primary. The order of the steps is what keeps a former
  * primary from serving: the record says that the group moves; every VM has
@@ -49,19 +36,25 @@
 export class Move {
   private fence = 0;
   private readonly startedAt: number;
+  private readonly stops: VmStops;
 
   constructor(
     private readonly request: MoveRequest,
     private readonly tools: MoveTools,
   ) {
     this.startedAt = tools.clock();
+    this.stops = new VmStops(request, {
+      ...tools,
+      keepDuty: () => this.keepDuty(),
+      onStep: (step, details) => this.log(step, details),
+    });
   }
 
   async run(fence: number): Promise<MoveOutcome> {
     this.fence = fence;
     const announced = await this.announce();
     if (!announced) return 'lost';
-    const seen = await this.stopAll(announced);
+    const seen = await this.stops.stopAll(announced);
     const kept = await this.keepIfBack(announced);
     return kept ?? this.promoteSuccessor(announced, seen);
   }
@@ -115,90 +108,6 @@
     return undefined;
   }
 
-  /** Waits until no VM uses the former primary; returns the last position. */
-  private async stopAll(
-    announced: Announced,
-  ): Promise<LogPosition | undefined> {
-    const {group, from, reason} = this.request;
-    const req = {group, version: announced.version, from, reason};
-    let seen = await this.stopOwn(announced.version);
-    await this.knowAllVms(announced);
-    const pending = new Set(this.tools.view().rows.vms.keys());
-    pending.delete(this.tools.vm);
-    while (pending.size > 0 && this.mayBeUsed(announced)) {
-      const started = this.tools.clock();
-      await Promise.all(
-        [...pending].map(async vm => {
-          const answer = await this.tools.peers.stopPrimary(
-            vm,
-            req,
-            STOP_TIMEOUT_MS,
-          );
-          if (!answer.ok) return;
-          pending.delete(vm);
-          seen = later(seen, answer.value.seen ?? undefined);
-        }),
-      );
-      await this.keepDuty();
-      // VMs that left the list, or are replaced by a new process, hold nothing.
-      const listed = this.tools.view().rows.vms;
-      for (const vm of pending) if (!listed.has(vm)) pending.delete(vm);
-      const pause = STOP_RETRY_MS - (this.tools.clock() - started);
-      if (pending.size > 0 && pause > 0) await sleep(pause);
-    }
-    this.log('stopped', {unreached: [...pending]});
-    await this.removeUnreached([...pending]);
-    return seen;
-  }
-
-  /** Waits for the rows of all VMs that registered before the record. */
-  private async knowAllVms(announced: Announced): Promise<void> {
-    while (
-      this.tools.view().version < announced.version &&
-      this.mayBeUsed(announced)
-    ) {
-      await sleep(VIEW_INTERVAL_MS);
-    }
-  }
-
-  /**
-   * Takes VMs off the list whose knowledge has expired, so that the next move
-   * does not wait for them. One that lives registers anew.
-   */
-  private async removeUnreached(names: readonly string[]): Promise<void> {
-    const {vms} = this.tools.view().rows;
-    for (const vm of names) {
-      const version = vms.get(vm)?.version;
-      if (version === undefined) continue;
-      const result = await this.tools.transact({
-        expected: new Map([[vmKey(vm), version]]),
-        puts: new Map(),
-        removals: [vmKey(vm)],
-      });
-      this.log('removed-vm', {vm, result: result.ok ? 'done' : result.err});
-    }
-  }
-
-  private stopOwn(version: number): Promise<LogPosition | undefined> {
-    const {from, reason} = this.request;
-    return ask(reply =>
-      this.tools.database.tell({
-        kind: 'stop-primary',
-        leadership: {record: {phase: 'moving', from, reason}, version},
-        mode: reason === 'leaving' ? 'finish' : 'abandon',
-        reply,
-      }),
-    );
-  }
-
-  private mayBeUsed(announced: Announced): boolean {
-    const earliest = earliestStoreTime(
-      this.tools.view().storeClock,
-      this.tools.clock(),
-    );
-    return mayStillHoldRight(announced.storeMs, earliest);
-  }
-
   /**
    * Keeps the former primary, which nobody else can succeed now. Another holder
    * may have ordered a promotion that takes effect later, so the duty must not
@@ -245,7 +154,7 @@
       );
       const required =
         reason === 'leaving'
-          ? later(seen, former.ok ? former.value.received : undefined)
+          ? laterPosition(seen, former.ok ? former.value.received : undefined)
           : undefined;
       const choice = chooseSuccessor({
         reports,
@@ -418,11 +327,3 @@
     );
   }
 }
-
-function later(
-  a: LogPosition | undefined,
-  b: LogPosition | undefined,
-): LogPosition | undefined {
-  if (!a || !b) return a ?? b;
-  return compareLogPosition(a, b) >= 0 ? a : b;
-}
