Add a randomized fault soak of the gateway

Runs the real program as several processes against stand-ins of the platform (store, orders, operators, database groups that commit on their primary alone) and causes faults from outside: loopback proxies that delay, reset, silence or cut one way, signals that kill, pause, stop and restart, a store and orders that fail, are slow or lose answers, members that go dark, crash, fall behind or leave, withdrawn keys and series of configurations. Faults overlap and follow from a seed. What callers and members saw is checked for twelve promises by pure functions, whose table of cases shows that each finds its fault. Ruled out: faults inside the programs, which would test another program. Clocks are only disturbed by pauses.

--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -6,6 +6,7 @@
   standins: 'packages/standins/src/main.ts',
   demo: 'packages/demo/src/main.ts',
   experiment: 'packages/experiment/src/main.ts',
+  soak: 'soak/src/main.ts',
   measure_membership: 'packages/entry/src/measure/membership.ts',
   measure_slopes: 'packages/experiment/src/measure/slopes.ts',
   measure_document: 'packages/experiment/src/measure/document_slope.ts',
--- /dev/null
+++ b/soak/src/checks/__tests__/check_history.test.ts
@@ -0,0 +1,242 @@
+import {describe, expect, it} from 'vitest';
+import {newHistory} from '../../world/history.js';
+import type {Commit, History, Operation, Run} from '../../world/history.js';
+import {checkHistory} from '../check_history.js';
+import type {CheckContext} from '../check_history.js';
+
+const FIRST: Commit = commit('d1', 1, 100);
+const SECOND: Commit = {...commit('d2', 2, 200), previous: FIRST};
+
+function commit(data: string, number: number, at: number): Commit {
+  return {
+    group: 'wash',
+    data,
+    member: 'wash-a',
+    term: 1,
+    number,
+    at,
+    previous: undefined,
+  };
+}
+
+function run(id: string, text: string, more: Partial<Run> = {}): Run {
+  return {
+    id,
+    text,
+    member: 'wash-a',
+    connection: 1,
+    transaction: 0,
+    values: 'tag=s1',
+    at: 300,
+    sees: SECOND,
+    answer: {signature: `sig-${id}`, rows: []},
+    ...more,
+  };
+}
+
+function operation(more: Partial<Operation>): Operation {
+  return {
+    session: 's1',
+    group: 'wash',
+    database: 'strict',
+    key: 'key-1',
+    kind: 'read',
+    statements: [],
+    data: undefined,
+    startedAt: 300,
+    endedAt: 310,
+    outcome: 'success',
+    detail: '',
+    ...more,
+  };
+}
+
+function statement(id: string, text: string) {
+  return {id, text, sentAt: 300, answer: {signature: `sig-${id}`, rows: []}};
+}
+
+/** Two writes that were acknowledged and one read that sees both. */
+function keptHistory(): History {
+  const history = newHistory();
+  history.commits.push(FIRST, SECOND);
+  history.runs.push(
+    run('w1', 'WRITE i d1', {at: 100}),
+    run('w2', 'WRITE i d2', {at: 200}),
+    run('r1', 'READ i'),
+  );
+  history.operations.push(
+    operation({
+      kind: 'write',
+      statements: [statement('w1', 'WRITE i d1')],
+      data: 'd1',
+      startedAt: 90,
+      endedAt: 110,
+    }),
+    operation({
+      kind: 'write',
+      statements: [statement('w2', 'WRITE i d2')],
+      data: 'd2',
+      startedAt: 190,
+      endedAt: 210,
+    }),
+    operation({statements: [statement('r1', 'READ i')]}),
+  );
+  return history;
+}
+
+const CONTEXT: CheckContext = {
+  ends: new Map([['wash', SECOND]]),
+  withdrawnAt: new Map(),
+  isCalm: () => true,
+  recovery: {fromMs: 300, leastShare: 0.25},
+};
+
+type Change = (history: History) => Partial<CheckContext> | void;
+
+function changeRun(history: History, id: string, more: Partial<Run>): void {
+  const index = history.runs.findIndex(item => item.id === id);
+  history.runs[index] = {...(history.runs[index] as Run), ...more};
+}
+
+function changeOperation(
+  history: History,
+  index: number,
+  more: Partial<Operation>,
+): void {
+  const before = history.operations[index] as Operation;
+  history.operations[index] = {...before, ...more};
+}
+
+const CASES: ReadonlyArray<readonly [string, Change]> = [
+  ['every promise kept', () => undefined],
+  [
+    'an answer that no member gave',
+    history => {
+      const answer = {signature: 'other', rows: []};
+      changeRun(history, 'r1', {answer});
+    },
+  ],
+  [
+    'rows of another answer',
+    history => {
+      const answer = {signature: 'sig-r1', rows: ['x']};
+      changeRun(history, 'r1', {answer});
+    },
+  ],
+  [
+    'a write with two effects',
+    history => {
+      history.commits.push({...FIRST, number: 3, previous: SECOND});
+    },
+  ],
+  [
+    'a write that was refused',
+    history => changeOperation(history, 0, {outcome: 'nothing-kept'}),
+  ],
+  [
+    'a commit at a former primary',
+    history => {
+      history.promotions.push({
+        group: 'wash',
+        member: 'wash-b',
+        term: 2,
+        at: 150,
+        holder: 'vm-1',
+        fence: 1,
+      });
+    },
+  ],
+  [
+    'a read that lacks a commit',
+    history => changeRun(history, 'r1', {sees: FIRST}),
+  ],
+  [
+    'a bounded read that lacks a recent commit',
+    history => {
+      changeRun(history, 'r1', {sees: FIRST});
+      changeOperation(history, 2, {database: 'bounded'});
+    },
+  ],
+  [
+    'an own read that lacks a recent commit of its session',
+    history => {
+      changeRun(history, 'r1', {sees: FIRST});
+      changeOperation(history, 2, {database: 'own'});
+    },
+  ],
+  [
+    'a read that lacks what a promotion rolled back',
+    history => {
+      changeRun(history, 'r1', {sees: FIRST});
+      return {ends: new Map([['wash', FIRST]])};
+    },
+  ],
+  [
+    'a statement that nobody sent',
+    history => changeRun(history, 'r1', {text: 'READ other'}),
+  ],
+  [
+    'values of another session',
+    history => changeRun(history, 'r1', {values: 'tag=s2'}),
+  ],
+  [
+    'a transaction on two connections',
+    history => {
+      changeOperation(history, 0, {
+        kind: 'transaction',
+        statements: [
+          statement('w1', 'WRITE i d1'),
+          statement('w3', 'WRITE i d1'),
+        ],
+      });
+      changeRun(history, 'w1', {transaction: 1});
+      history.runs.push(
+        run('w3', 'WRITE i d1', {transaction: 2, connection: 2}),
+      );
+    },
+  ],
+  ['a key at a member', history => void history.callersAtMembers.add('key-1')],
+  [
+    'one fencing number of two holders',
+    history => {
+      for (const holder of ['vm-1', 'vm-2']) {
+        history.promotions.push({
+          group: 'label',
+          member: 'label-b',
+          term: 2,
+          at: 1,
+          holder,
+          fence: 1,
+        });
+      }
+    },
+  ],
+  [
+    'a withdrawn key',
+    history => {
+      changeOperation(history, 2, {startedAt: 4_000, endedAt: 4_010});
+      return {withdrawnAt: new Map([['key-1', 500]])};
+    },
+  ],
+  [
+    'a withdrawn key at a VM that could not know',
+    history => {
+      changeOperation(history, 2, {startedAt: 4_000, endedAt: 4_010});
+      return {withdrawnAt: new Map([['key-1', 500]]), isCalm: () => false};
+    },
+  ],
+  [
+    'no service at the end',
+    history => changeOperation(history, 2, {outcome: 'unknown'}),
+  ],
+];
+
+describe('checkHistory', () => {
+  // Guards against a soak that passes because a check sees nothing, and
+  // against one that calls an allowed case a fault.
+  it.each(CASES)('%s', (unusedName, change) => {
+    const history = keptHistory();
+    const context = {...CONTEXT, ...change(history)};
+    expect(checkHistory(history, context)).toMatchSnapshot();
+  });
+});
--- /dev/null
+++ b/soak/src/faults/__tests__/fault_proxy.test.ts
@@ -0,0 +1,61 @@
+import {createConnection, createServer} from 'node:net';
+import type {Server, Socket} from 'node:net';
+import {afterEach, describe, expect, it} from 'vitest';
+import {sleep} from '@pistachiorill/tasks';
+import {listenAnywhere} from '../../world/listen.js';
+import {FaultProxy} from '../fault_proxy.js';
+import type {ProxyMode} from '../fault_proxy.js';
+
+const closers: Array<() => void> = [];
+afterEach(() => {
+  for (const close of closers.splice(0)) close();
+});
+
+/** An echo behind a proxy, and a connection through it. */
+async function connectThroughProxy() {
+  const echo: Server = createServer(socket => {
+    socket.on('error', () => undefined);
+    socket.pipe(socket);
+  });
+  const target = await listenAnywhere(echo);
+  const proxy = new FaultProxy(() => target);
+  const [host, port] = (await listenAnywhere(proxy.server)).split(':');
+  const socket: Socket = createConnection({host, port: Number(port)});
+  let received = '';
+  let state = 'open';
+  socket.on('data', chunk => (received += String(chunk)));
+  // A reset shows in the next read or in the next write.
+  socket.on('error', () => (state = 'broken'));
+  closers.push(() => {
+    socket.destroy();
+    proxy.reset();
+    proxy.server.close();
+    echo.close();
+  });
+  socket.write('a');
+  await sleep(50);
+  return {proxy, socket, seen: () => ({received, state})};
+}
+
+describe('FaultProxy', () => {
+  // Guards against a fault that does not happen, and against bytes that are
+  // lost or change their order when it ends.
+  it.each([
+    'open',
+    'delayed',
+    'silent',
+    'silent-forward',
+    'silent-back',
+    'refusing',
+  ] as const)('%s', async (mode: ProxyMode) => {
+    const {proxy, socket, seen} = await connectThroughProxy();
+    proxy.setMode(mode);
+    socket.write('b');
+    await sleep(60);
+    const during = seen();
+    proxy.setMode('open');
+    socket.write('c');
+    await sleep(400);
+    expect({during, after: seen()}).toMatchSnapshot();
+  });
+});
--- /dev/null
+++ b/soak/src/run_soak.ts
@@ -0,0 +1,182 @@
+import {mkdirSync, writeFileSync} from 'node:fs';
+import {get} from 'node:http';
+import {join} from 'node:path';
+import {performance} from 'node:perf_hooks';
+import {Random} from '@pistachiorill/core';
+import {findFreePorts} from '@pistachiorill/launcher';
+import {sleep} from '@pistachiorill/tasks';
+import {checkHistory} from './checks/check_history.js';
+import type {Violation} from './checks/check_history.js';
+import {Caller} from './clients/caller.js';
+import {FaultInjector} from './faults/fault_injector.js';
+import {planFaults} from './faults/fault_plan.js';
+import {VmProcess} from './vm_process.js';
+import {newHistory} from './world/history.js';
+import type {History} from './world/history.js';
+import {HOST} from './world/listen.js';
+import {WORKSPACES, keyOf} from './world/operators.js';
+import {PlatformWorld} from './world/platform_world.js';
+
+export interface SoakSettings {
+  readonly seed: number;
+  readonly lengthMs: number;
+  readonly vms: number;
+  readonly callers: number;
+  /** The bundled gateway. */
+  readonly program: string;
+  /** Where logs and the history of a failed run are kept. */
+  readonly folder: string;
+}
+
+export interface SoakReport {
+  readonly seed: number;
+  readonly faults: readonly string[];
+  readonly operations: number;
+  readonly served: number;
+  readonly promotions: number;
+  readonly violations: readonly Violation[];
+}
+
+const READY_TIMEOUT_MS = 20_000;
+/** Operations in the last part of a run show whether it recovered. */
+const RECOVERY_MS = 1_500;
+/** As the users ask: a quarter of what is asked after a fault. */
+const RECOVERY_SHARE = 0.25;
+
+/** Runs gateways as processes, hurts them, and checks what was seen. */
+export async function runSoak(settings: SoakSettings): Promise<SoakReport> {
+  const {seed, lengthMs} = settings;
+  const folder = join(settings.folder, `seed-${seed}`);
+  mkdirSync(folder, {recursive: true});
+  const clock = (): number => performance.now();
+  const history = newHistory();
+  const world = await PlatformWorld.start(history, clock);
+  const vms = await startVms(settings, world, folder);
+  const injector = new FaultInjector(world, vms, clock);
+  const callers = startCallers(settings, world, vms, history, clock);
+  const faults = planFaults(seed, lengthMs);
+  const startedAt = clock();
+  try {
+    for (const fault of faults) {
+      await sleep(Math.max(0, startedAt + fault.atMs - clock()));
+      injector.inject(fault);
+    }
+    await sleep(Math.max(0, startedAt + lengthMs - clock()));
+    await injector.untilOver();
+    await sleep(2 * RECOVERY_MS);
+    for (const {caller} of callers) caller.stop();
+    await Promise.all(callers.map(item => item.done));
+  } finally {
+    for (const vm of vms) vm.signal('SIGCONT');
+    await Promise.all(vms.map(vm => vm.end('SIGKILL')));
+    world.close();
+  }
+  const violations = checkHistory(history, {
+    ends: new Map(
+      [...world.groups].map(([name, group]) => [
+        name,
+        group.primary()?.received,
+      ]),
+    ),
+    withdrawnAt: withdrawals(world),
+    isCalm: (fromMs, toMs) => injector.isCalm(fromMs, toMs),
+    recovery: {
+      fromMs: clock() - RECOVERY_MS,
+      leastShare: RECOVERY_SHARE,
+    },
+  });
+  if (violations.length > 0) keep(folder, history, violations);
+  return {
+    seed,
+    faults: faults.map(({kind, atMs, forMs}) => `${atMs}+${forMs} ${kind}`),
+    operations: history.operations.length,
+    served: history.operations.filter(item => item.outcome === 'success')
+      .length,
+    promotions: history.promotions.length,
+    violations,
+  };
+}
+
+async function startVms(
+  {vms, program}: SoakSettings,
+  world: PlatformWorld,
+  folder: string,
+): Promise<readonly VmProcess[]> {
+  const started: VmProcess[] = [];
+  for (let number = 1; number <= vms; number++) {
+    const [callers = 0, readiness = 0, peers = 0, metrics = 0] =
+      await findFreePorts(4);
+    const ports = {callers, readiness, peers, metrics};
+    const paths = await world.connectVm();
+    const vm = new VmProcess(`vm-${number}`, ports, paths, program, folder);
+    vm.start();
+    started.push(vm);
+  }
+  const until = performance.now() + READY_TIMEOUT_MS;
+  for (const {name, ports} of started) {
+    while (!(await isReady(ports.readiness))) {
+      if (performance.now() > until) throw new Error(`${name} is not ready`);
+      await sleep(50);
+    }
+  }
+  return started;
+}
+
+function isReady(port: number): Promise<boolean> {
+  return new Promise(resolve => {
+    const req = get({host: HOST, port, path: '/api/ready'}, res => {
+      res.resume();
+      resolve(res.statusCode === 200);
+    });
+    req.on('error', () => resolve(false));
+  });
+}
+
+function startCallers(
+  {callers, seed}: SoakSettings,
+  world: PlatformWorld,
+  vms: readonly VmProcess[],
+  history: History,
+  clock: () => number,
+) {
+  return Array.from({length: callers}, (unused, index) => {
+    const caller = new Caller({
+      name: `c${index}`,
+      groups: [...world.groups.keys()],
+      addresses: vms.map(vm => vm.callerAddress),
+      random: new Random(seed * 1_000 + index),
+      clock,
+      history,
+    });
+    return {caller, done: caller.run()};
+  });
+}
+
+function withdrawals({operators}: PlatformWorld): ReadonlyMap<string, number> {
+  return new Map(
+    WORKSPACES.map(name => keyOf(name, 2)).flatMap(key => {
+      const at = operators.withdrawnAt(key);
+      return at === undefined ? [] : [[key, at] as const];
+    }),
+  );
+}
+
+/** Keeps what explains a failure, beside the logs of the VMs. */
+function keep(
+  folder: string,
+  history: History,
+  violations: readonly Violation[],
+): void {
+  const lines = [
+    ...violations.map(item => JSON.stringify({violation: item})),
+    ...history.promotions.map(item => JSON.stringify({promotion: item})),
+    ...history.operations.map(item => JSON.stringify({operation: item})),
+    ...history.commits.map(({previous, ...item}) =>
+      JSON.stringify({commit: {...item, after: previous?.number ?? 0}}),
+    ),
+    ...history.runs.map(({sees, ...item}) =>
+      JSON.stringify({run: {...item, sees: sees?.number ?? 0}}),
+    ),
+  ];
+  writeFileSync(join(folder, 'history.jsonl'), `${lines.join('\n')}\n`);
+}
--- /dev/null
+++ b/soak/src/vm_process.ts
@@ -0,0 +1,84 @@
+import {spawn} from 'node:child_process';
+import type {ChildProcess} from 'node:child_process';
+import {closeSync, openSync, writeFileSync} from 'node:fs';
+import {join} from 'node:path';
+import {HOST} from './world/listen.js';
+import type {VmPaths} from './world/platform_world.js';
+
+/** Ports of one VM, claimed before it starts. */
+export interface VmPorts {
+  readonly callers: number;
+  readonly readiness: number;
+  readonly peers: number;
+  readonly metrics: number;
+}
+
+const GRACE_MS = 3_000;
+
+/** One gateway process, which the soak starts and ends by its id. */
+export class VmProcess {
+  private child: ChildProcess | undefined;
+  private readonly settingsPath: string;
+  private readonly logPath: string;
+
+  constructor(
+    readonly name: string,
+    readonly ports: VmPorts,
+    readonly paths: VmPaths,
+    private readonly program: string,
+    folder: string,
+  ) {
+    this.settingsPath = join(folder, `${name}.ini`);
+    this.logPath = join(folder, `${name}.log`);
+    writeFileSync(this.settingsPath, this.settings());
+  }
+
+  get callerAddress(): string {
+    return `${HOST}:${this.ports.callers}`;
+  }
+
+  start(): void {
+    const log = openSync(this.logPath, 'a');
+    this.child = spawn(
+      process.execPath,
+      [this.program, 'serve', '--settings', this.settingsPath],
+      {stdio: ['ignore', log, log]},
+    );
+    closeSync(log);
+  }
+
+  signal(signal: NodeJS.Signals): void {
+    this.child?.kill(signal);
+  }
+
+  /** Ends the process and waits until it is gone. */
+  async end(signal: 'SIGTERM' | 'SIGKILL'): Promise<void> {
+    const {child} = this;
+    if (!child || child.exitCode !== null || child.signalCode !== null) return;
+    const exited = new Promise(resolve => child.once('exit', resolve));
+    child.kill(signal);
+    await exited;
+  }
+
+  private settings(): string {
+    const {callers, readiness, peers, metrics} = this.ports;
+    return [
+      '[vm]',
+      `name = ${this.name}`,
+      `data_centre = dc-${this.name.at(-1)}`,
+      'region = soak',
+      '[listen]',
+      `callers = ${HOST}:${callers}`,
+      `readiness = ${HOST}:${readiness}`,
+      `peers = ${HOST}:${peers}`,
+      `metrics = ${HOST}:${metrics}`,
+      '[store]',
+      `address = ${this.paths.storeAddress}`,
+      '[orders]',
+      `address = ${this.paths.orderAddress}`,
+      '[limits]',
+      `grace_ms = ${GRACE_MS}`,
+      '',
+    ].join('\n');
+  }
+}
--- /dev/null
+++ b/soak/src/world/order_server.ts
@@ -0,0 +1,32 @@
+import {createServer} from 'node:http';
+import type {Server} from 'node:http';
+import type {DatabaseGroup} from './database_group.js';
+import {bodyOf} from './store_server.js';
+
+/** How orders of promotions are treated. */
+export type OrderMood = 'answers' | 'loses-answers' | 'unavailable';
+
+/** Takes the orders that make a member the primary. */
+export class OrderServer {
+  mood: OrderMood = 'answers';
+  readonly server: Server;
+
+  constructor(groups: ReadonlyMap<string, DatabaseGroup>) {
+    this.server = createServer((req, res) => {
+      void bodyOf(req).then(body => {
+        if (this.mood === 'unavailable') {
+          res.writeHead(503).end();
+          return;
+        }
+        const {service, id} = JSON.parse(body) as Record<string, string>;
+        const holder = String(req.headers['lease-holder']);
+        const fence = Number(req.headers['fencing-token']);
+        const result = groups
+          .get(service ?? '')
+          ?.promote(id ?? '', {holder, fence});
+        if (this.mood === 'loses-answers') res.destroy();
+        else res.writeHead(result === 'accepted' ? 200 : 409).end();
+      });
+    });
+  }
+}
--- /dev/null
+++ b/soak/src/world/store_server.ts
@@ -0,0 +1,143 @@
+import {createServer} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
+import {performance} from 'node:perf_hooks';
+import type {RowChange, StoreTable, StoredRow} from './store_table.js';
+
+/** How the store treats calls. */
+export type StoreMood =
+  'answers' | 'unavailable' | 'silent' | 'slow' | 'loses-answers';
+
+const SLOW_MS = 250;
+const MAX_PAGE = 500;
+
+/** Rewrites a row's value for one reader, whose paths to members differ. */
+export type RowView = (row: StoredRow) => string;
+
+interface Call {
+  readonly table: string;
+  readonly after: number;
+  readonly waitMs: number;
+  readonly from: string;
+}
+
+/** The platform's store as one VM reaches it. */
+export class StoreServer {
+  mood: StoreMood = 'answers';
+  readonly server: Server;
+
+  constructor(
+    private readonly table: StoreTable,
+    private readonly view: RowView,
+  ) {
+    this.server = createServer((req, res) => void this.handle(req, res));
+  }
+
+  private async handle(
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> {
+    const body = await bodyOf(req);
+    const {mood} = this;
+    if (mood === 'silent') return;
+    if (mood === 'unavailable') return answer(res, 503, {});
+    if (mood === 'slow') {
+      await new Promise(resolve => setTimeout(resolve, SLOW_MS));
+    }
+    const url = new URL(req.url ?? '', 'http://store');
+    const call: Call = {
+      table: url.searchParams.get('table') ?? '',
+      after: Number(url.searchParams.get('after') ?? 0),
+      waitMs: Number(url.searchParams.get('waitMs') ?? 0),
+      from: url.searchParams.get('from') ?? '',
+    };
+    switch (url.pathname) {
+      case '/api/rows-get':
+        return this.read(res, call);
+      case '/api/rows-feed':
+        return this.feed(res, call);
+      case '/api/rows-tx':
+        return this.transact(res, body);
+      default:
+        answer(res, 404, {});
+    }
+  }
+
+  private read(res: ServerResponse, {table, from}: Call): void {
+    const rows = this.table
+      .rowsOf(table)
+      .filter(row => row.state === 'present' && row.key >= from)
+      .slice(0, MAX_PAGE);
+    this.reply(res, 200, rows);
+  }
+
+  private async feed(
+    res: ServerResponse,
+    {table, after, waitMs}: Call,
+  ): Promise<void> {
+    const until = performance.now() + waitMs;
+    let rows = this.table.rowsOf(table, after);
+    while (rows.length === 0 && performance.now() < until) {
+      await this.table.changed(until - performance.now());
+      rows = this.table.rowsOf(table, after);
+    }
+    if (this.mood === 'silent') return;
+    this.reply(res, 200, rows);
+  }
+
+  private transact(res: ServerResponse, body: string): void {
+    const {expected, puts, remove} = JSON.parse(body) as WireTransaction;
+    const conflicts = expected.filter(
+      ({table, key, ver}) => this.table.versionOf(table, key) !== ver,
+    );
+    if (conflicts.length > 0) return this.reply(res, 412, []);
+    const changes: RowChange[] = [
+      ...puts.map(({table, key, value}) => ({
+        table,
+        key,
+        value: Buffer.from(value, 'base64').toString('utf8'),
+      })),
+      ...remove.map(({table, key}) => ({table, key, value: undefined})),
+    ];
+    this.table.apply(changes);
+    if (this.mood === 'loses-answers') res.destroy();
+    else this.reply(res, 200, []);
+  }
+
+  private reply(
+    res: ServerResponse,
+    status: number,
+    rows: readonly StoredRow[],
+  ): void {
+    answer(res, status, {
+      rows: rows.map(row => ({
+        table: row.table,
+        part: '',
+        key: row.key,
+        value: Buffer.from(this.view(row)).toString('base64'),
+        ver: row.version,
+        ...(row.state === 'removed' ? {removed: true} : {}),
+      })),
+      ver: this.table.version,
+      nowMs: Math.floor(performance.now()),
+      morePages: false,
+    });
+  }
+}
+
+interface WireTransaction {
+  readonly expected: ReadonlyArray<{table: string; key: string; ver: number}>;
+  readonly puts: ReadonlyArray<{table: string; key: string; value: string}>;
+  readonly remove: ReadonlyArray<{table: string; key: string}>;
+}
+
+function answer(res: ServerResponse, status: number, body: object): void {
+  res.writeHead(status, {'content-type': 'application/json'});
+  res.end(JSON.stringify(body));
+}
+
+/** Reads a request's body. */
+export async function bodyOf(req: IncomingMessage): Promise<string> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of req) chunks.push(chunk as Buffer);
+  return Buffer.concat(chunks).toString();
+}
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -5,6 +5,7 @@
     include: [
       'packages/*/src/**/__tests__/**/*.test.ts',
       'platform/src/**/__tests__/**/*.test.ts',
+      'soak/src/**/__tests__/**/*.test.ts',
     ],
     // Process tests start many processes and wait for their first failover; a
     // busy machine must not change the verdict.
