Hold a workspace's rate at eight VMs of a large fleet

Change: above 12 VMs with a share the tokens of a workspace accrue at eight of them, chosen by rendezvous hash of its name; the others ask these. A lost VM keeps its place until its share is given away, so that a place never spends twice. Fleets of up to 12 VMs divide the rates as before.

--- a/packages/core/src/quota/transfer/__tests__/share_table.test.ts
+++ b/packages/core/src/quota/transfer/__tests__/share_table.test.ts
@@ -1,13 +1,9 @@
 import {describe, expect, it} from 'vitest';
 import {Random} from '../../../common/random.js';
 import {WHOLE_PPM} from '../../quota_limits.js';
-import {
-  initialShares,
-  isRevoked,
-  nextShares,
-  spendableShare,
-} from '../share_table.js';
+import {initialShares, isRevoked, nextShares} from '../share_table.js';
 import type {ShareTable} from '../share_table.js';
+import {homeShare, homesOf} from '../workspace_homes.js';
 
 const EXPIRY_MS = 10_000;
 
@@ -33,7 +29,7 @@
     const back = step(lost, ['a', 'b', 'c', 'd'], [], 2_000);
     expect({first, lost, sure, waiting, spread, back}).toMatchSnapshot();
     expect(isRevoked(lost, 'd')).toBe(true);
-    expect(spendableShare(lost, 'd')).toBe(0);
+    expect(homeShare(lost, homesOf(lost, 'co-op'), 'd')).toBe(0);
   });
 
   // Guards against shares that add up to more than the whole.
--- a/packages/core/src/quota/transfer/share_table.ts
+++ b/packages/core/src/quota/transfer/share_table.ts
@@ -24,12 +24,6 @@
   return Object.fromEntries([...vms].sort().map(vm => [vm, {ppm}]));
 }
 
-/** What a VM may accrue: nothing while its share is revoked. */
-export function spendableShare(table: ShareTable, vm: string): number {
-  const entry = table[vm];
-  return entry && entry.revokedAt === undefined ? entry.ppm : 0;
-}
-
 /** Whether the table still shows a revocation of which nobody can be sure. */
 export function hasUnsureRevocation(table: ShareTable): boolean {
   return Object.values(table).some(
--- /dev/null
+++ b/packages/core/src/quota/transfer/workspace_homes.ts
@@ -0,0 +1,37 @@
+import {rendezvousOrder} from '../../common/rendezvous.js';
+import {WHOLE_PPM} from '../quota_limits.js';
+import {isRevoked} from './share_table.js';
+import type {ShareTable} from './share_table.js';
+
+/** In fleets up to this size every VM has a part of every rate. */
+const WHOLE_FLEET_LIMIT = 12;
+/** VMs that hold the rate of one workspace in a larger fleet. */
+const HOME_COUNT = 8;
+
+/**
+ * The VMs that accrue a workspace's tokens. In a large fleet a part for each
+ * VM would be less than a token, and one token the sum of many messages; there
+ * a few VMs, chosen by the workspace's name, hold the rate. A VM that is lost
+ * keeps its place until its share is given away.
+ */
+export function homesOf(
+  table: ShareTable,
+  workspace: string,
+): readonly string[] {
+  const vms = Object.keys(table).filter(vm => (table[vm]?.ppm ?? 0) > 0);
+  if (vms.length <= WHOLE_FLEET_LIMIT) return vms;
+  return rendezvousOrder(workspace, vms).slice(0, HOME_COUNT);
+}
+
+/** The part of a workspace's rate that one of its homes may spend. */
+export function homeShare(
+  table: ShareTable,
+  homes: readonly string[],
+  vm: string,
+): number {
+  if (!homes.includes(vm) || isRevoked(table, vm)) return 0;
+  const isWholeFleet =
+    homes.length === Object.values(table).filter(entry => entry.ppm > 0).length;
+  if (isWholeFleet) return table[vm]?.ppm ?? 0;
+  return Math.floor(WHOLE_PPM / homes.length);
+}
--- a/packages/gateway/src/daemon/gateway_daemon.ts
+++ b/packages/gateway/src/daemon/gateway_daemon.ts
@@ -14,7 +14,7 @@
 import {SuspensionClock, SystemClocks} from '../clock/suspension_clock.js';
 import {DatabaseSet} from './database_set.js';
 import {FleetTask} from '../fleet/fleet_task.js';
-import {EMPTY_FLEET_VIEW, isProven, shareOf} from '../fleet/fleet_view.js';
+import {EMPTY_FLEET_VIEW, isProven, provenShares} from '../fleet/fleet_view.js';
 import type {FleetView} from '../fleet/fleet_view.js';
 import {ShareKeeper} from '../fleet/share_keeper.js';
 import {LeadershipTask} from '../leadership/leadership_task.js';
@@ -35,6 +35,7 @@
   ReadinessEndpoint,
 } from '../ports/readiness_endpoint.js';
 import {QuotaTask} from '../quota/quota_task.js';
+import {WorkspaceShares} from '../quota/workspace_shares.js';
 import {AdmitFilter} from '../session/admit_filter.js';
 import {PlaceFilter} from '../session/place_filter.js';
 import {RouteFilter} from '../session/route_filter.js';
@@ -129,10 +130,19 @@
       log,
       onFailed,
     });
+    const shares = new WorkspaceShares(vm);
     this.quota = new QuotaTask({
       clock,
       startedAt: PROCESS_START_MS,
-      sharePpm: () => (this.view ? shareOf(this.view, vm, clock()) : 0),
+      sharePpm: workspace => {
+        const table = provenShares(this.knownView(), clock());
+        return table ? shares.shareOf(table, workspace) : 0;
+      },
+      homes: workspace => {
+        const table = this.knownView().rows.shares?.value;
+        return table ? shares.homesOf(table, workspace) : [];
+      },
+      knowsShares: () => provenShares(this.knownView(), clock()) !== undefined,
       peers,
       log,
       onFailed,
--- a/packages/gateway/src/fleet/__tests__/fleet_task.test.ts
+++ b/packages/gateway/src/fleet/__tests__/fleet_task.test.ts
@@ -1,15 +1,21 @@
 import {afterEach, describe, expect, it} from 'vitest';
-import {Random} from '@pistachiorill/core';
+import {Random, homeShare, homesOf} from '@pistachiorill/core';
 import {ask} from '@pistachiorill/tasks';
 import {PeerSet} from '../../peers/peer_set.js';
 import {silentLogger} from '../../testing/fake_group.js';
 import {FakeStore} from '../../testing/fake_store.js';
 import {FleetTask} from '../fleet_task.js';
 import type {RelayedRows} from '../fleet_task.js';
-import {isProven, rightOf, shareOf} from '../fleet_view.js';
+import {isProven, provenShares, rightOf} from '../fleet_view.js';
 import type {FleetView} from '../fleet_view.js';
 
 const SETTLE_MS = 30;
+
+/** What vm-a may spend of a rate, in parts per million. */
+function spendable(view: FleetView, now: number): number {
+  const table = provenShares(view, now);
+  return table ? homeShare(table, homesOf(table, 'co-op'), 'vm-a') : 0;
+}
 let running: FleetTask | undefined;
 
 afterEach(async () => {
@@ -96,8 +102,8 @@
     const [first] = views;
     const last = views.at(-1);
     expect({
-      first: first && shareOf(first, 'vm-a', clock()),
-      last: last && shareOf(last, 'vm-a', clock()),
+      first: first && spendable(first, clock()),
+      last: last && spendable(last, clock()),
       row: store.rows.get('shares')?.value,
     }).toMatchSnapshot();
   });
--- a/packages/gateway/src/fleet/fleet_view.ts
+++ b/packages/gateway/src/fleet/fleet_view.ts
@@ -3,10 +3,10 @@
   UNKNOWN_STORE_CLOCK,
   latestStoreTime,
   primaryRight,
-  spendableShare,
 } from '@pistachiorill/core';
 import type {
   PrimaryRight,
+  ShareTable,
   StoreClock,
   StoreProof,
   VersionedLeadership,
@@ -76,8 +76,10 @@
   );
 }
 
-/** The part of every rate that the VM may spend now. */
-export function shareOf(view: FleetView, vm: string, now: number): number {
-  const {shares} = view.rows;
-  return shares && isProven(view, now) ? spendableShare(shares.value, vm) : 0;
+/** The shares of all VMs, while the view is recent enough to spend them. */
+export function provenShares(
+  view: FleetView,
+  now: number,
+): ShareTable | undefined {
+  return isProven(view, now) ? view.rows.shares?.value : undefined;
 }
--- a/packages/gateway/src/peers/peer_set.ts
+++ b/packages/gateway/src/peers/peer_set.ts
@@ -59,9 +59,14 @@
     }
   }
 
-  /** Picks peers at random; a preferred one and those that answer go first. */
-  sample(count: number, preferred: string | undefined): readonly string[] {
+  /** Picks peers at random, `among` some if given; a preferred one and those that answer go first. */
+  sample(
+    count: number,
+    preferred: string | undefined,
+    among?: readonly string[],
+  ): readonly string[] {
     const names = [...this.peers]
+      .filter(([vm]) => among?.includes(vm) ?? true)
       .map(([vm, peer]) => ({
         vm,
         rank:
--- a/packages/gateway/src/quota/__tests__/quota_task.test.ts
+++ b/packages/gateway/src/quota/__tests__/quota_task.test.ts
@@ -14,6 +14,8 @@
     clock: () => time.now,
     startedAt: 100,
     sharePpm: () => 250_000,
+    homes: () => [],
+    knowsShares: () => true,
     peers: new PeerSet(new Random(1)),
     log: silentLogger(),
     onFailed: err => {
--- a/packages/gateway/src/quota/quota_task.ts
+++ b/packages/gateway/src/quota/quota_task.ts
@@ -1,4 +1,5 @@
 import {
+  WHOLE_PPM,
   accrueTokens,
   emptyBucket,
   noteDemand,
@@ -64,8 +65,12 @@
   readonly clock: Clock;
   /** When this process started, on the same clock. */
   readonly startedAt: number;
-  /** The VM's part of each rate in parts per million, 0 while unproven. */
-  readonly sharePpm: () => number;
+  /** The VM's part of a rate in parts per million, 0 while unproven. */
+  readonly sharePpm: (workspace: string) => number;
+  /** The VMs that hold the rate of a workspace. */
+  readonly homes: (workspace: string) => readonly string[];
+  /** Whether this VM knows what it may spend. */
+  readonly knowsShares: () => boolean;
   readonly peers: PeerSet;
   readonly log: Logger;
   readonly onFailed: (err: unknown) => void;
@@ -86,7 +91,7 @@
 export class QuotaTask extends Task<QuotaMessage> {
   private readonly accounts = new Map<string, Account>();
   private ticker: NodeJS.Timeout | undefined;
-  /** When the VM first had a share to spend. */
+  /** When the VM first knew the shares. */
   private spendingSince: number | undefined;
 
   constructor(private readonly tools: QuotaTools) {
@@ -140,7 +145,7 @@
     for (const [workspace, limit] of limits) {
       const account = this.accounts.get(workspace);
       if (account) {
-        this.accrue(account, now);
+        this.accrue(workspace, account, now);
         account.limits = limit;
       } else {
         this.accounts.set(workspace, {
@@ -174,7 +179,7 @@
   }
 
   private serve(workspace: string, account: Account, now: number): void {
-    this.accrue(account, now);
+    this.accrue(workspace, account, now);
     while (account.waiting.length > 0 && account.bucket.tokens >= 1) {
       const {bucket} = account;
       account.bucket = {...bucket, tokens: bucket.tokens - 1};
@@ -183,7 +188,7 @@
     }
     account.waiting = account.waiting.filter(waiter => {
       if (now < waiter.until) return true;
-      const retryAfterMs = this.untilNextToken(account);
+      const retryAfterMs = this.untilNextToken(workspace, account);
       account.report.refused++;
       waiter.reply.answer({kind: 'refused', retryAfterMs});
       return false;
@@ -204,7 +209,7 @@
     if (now - report.startedAt < REPORT_INTERVAL_MS) return;
     if (report.refused > 0) {
       const {admitted, refused} = report;
-      const sharePpm = this.tools.sharePpm();
+      const sharePpm = this.tools.sharePpm(workspace);
       const {tokens} = bucket;
       this.tools.log.info(
         {
@@ -225,15 +230,16 @@
   }
 
   private isStarting(now: number): boolean {
-    if (this.spendingSince === undefined && this.tools.sharePpm() > 0) {
+    if (this.spendingSince === undefined && this.tools.knowsShares()) {
       this.spendingSince = now;
     }
     const since = this.spendingSince;
     return since === undefined || now - since < STARTING_MS;
   }
 
-  private untilNextToken({limits, bucket}: Account): number {
-    const perSecond = (limits.rate * this.tools.sharePpm()) / 1_000_000;
+  private untilNextToken(workspace: string, {limits, bucket}: Account): number {
+    const sharePpm = this.lenderPpm(workspace);
+    const perSecond = (limits.rate * sharePpm) / WHOLE_PPM;
     const missing = Math.max(0, 1 - bucket.tokens);
     return Math.min(
       1_000,
@@ -241,11 +247,18 @@
     );
   }
 
+  /** The part of a rate that a VM that is asked for tokens has. */
+  private lenderPpm(workspace: string): number {
+    const homes = this.tools.homes(workspace).length;
+    return homes > 0 ? WHOLE_PPM / homes : 0;
+  }
+
   private askPeers(workspace: string, account: Account, tokens: number): void {
-    const {peers, sharePpm} = this.tools;
+    const {peers, homes} = this.tools;
     const names = peers.sample(
-      peersToAsk(account.limits, sharePpm(), tokens),
+      peersToAsk(account.limits, this.lenderPpm(workspace), tokens),
       account.lender,
+      homes(workspace),
     );
     const each = tokens / Math.max(1, names.length);
     for (const from of names) {
@@ -286,7 +299,7 @@
   private give(workspace: string, asked: number, now: number): number {
     const account = this.accounts.get(workspace);
     if (!account || account.waiting.length > 0) return 0;
-    this.accrue(account, now);
+    this.accrue(workspace, account, now);
     const given = tokensToGive(account.bucket, asked, now);
     account.bucket = {
       ...account.bucket,
@@ -298,7 +311,7 @@
   private add(workspace: string, tokens: number, now: number): void {
     const account = this.accounts.get(workspace);
     if (!account) return;
-    this.accrue(account, now);
+    this.accrue(workspace, account, now);
     const {bucket, limits} = account;
     account.bucket = {
       ...bucket,
@@ -306,11 +319,11 @@
     };
   }
 
-  private accrue(account: Account, now: number): void {
+  private accrue(workspace: string, account: Account, now: number): void {
     account.bucket = accrueTokens(
       account.bucket,
       account.limits,
-      this.tools.sharePpm(),
+      this.tools.sharePpm(workspace),
       now,
     );
   }
