Take in registrations of VMs that come together at once

Cause: each VM that registers changes the table, and each change answers the held request of every VM: 70 VMs that start within 0.3 s make up to 4,900 calls to the store, each of which is priced. Change: a VM that has joined pauses 100 ms after news of registrations alone. News of primaries, shares or the duty, and the VM's own registration, are not held back. Ruled out: a pause after all news, which would slow a change of primary.

--- a/packages/gateway/src/fleet/__tests__/fleet_task.test.ts
+++ b/packages/gateway/src/fleet/__tests__/fleet_task.test.ts
@@ -68,6 +68,25 @@
     expect(store.rows.has('vm/vm-a')).toBe(true);
   });
 
+  // Guards against a request of every VM for each VM that registers, which
+  // grows with the square of a fleet that starts at once.
+  it('takes in registrations that come together at once', async () => {
+    const {store, views} = start(() => undefined);
+    await settle();
+    const before = store.newsAnswered;
+    for (let vm = 0; vm < 15; vm++) {
+      store.put(`vm/vm-${vm}`, {
+        peers: 'x:1',
+        dataCentre: 'b',
+        incarnation: '',
+      });
+      await settle(4);
+    }
+    await settle(250);
+    expect(views.at(-1)?.rows.vms.size).toBe(16);
+    expect(store.newsAnswered - before).toBeLessThan(15 / 2);
+  });
+
   // Guards against a right that outlives its proof when the store is away.
   it('loses the right when the store stays away', async () => {
     const {store, views, clock, offset} = start(fake =>
--- a/packages/gateway/src/fleet/fleet_rows.ts
+++ b/packages/gateway/src/fleet/fleet_rows.ts
@@ -21,6 +21,11 @@
   return VM_PREFIX + vm;
 }
 
+/** Whether a row registers a VM. */
+export function isVmRow({key}: TableRow): boolean {
+  return key.startsWith(VM_PREFIX);
+}
+
 const VM_SCHEMA = z.object({
   peers: z.string(),
   dataCentre: z.string(),
--- a/packages/gateway/src/fleet/fleet_task.ts
+++ b/packages/gateway/src/fleet/fleet_task.ts
@@ -21,7 +21,7 @@
 import type {Clock, Reply} from '@pistachiorill/tasks';
 import type {Logger} from '@pistachiorill/telemetry';
 import type {PeerSet} from '../peers/peer_set.js';
-import {SHARES_KEY, decodeRows, vmKey} from './fleet_rows.js';
+import {SHARES_KEY, decodeRows, isVmRow, vmKey} from './fleet_rows.js';
 import type {FleetRows, VmEntry} from './fleet_rows.js';
 import type {FleetView} from './fleet_view.js';
 
@@ -33,6 +33,11 @@
 /** Pauses after a failed call; they grow up to the second figure. */
 const FIRST_RETRY_MS = 150;
 const MAX_RETRY_MS = 1_000;
+/**
+ * VMs that start together register one after the other. A pause after such news
+ * takes in the next ones with one request.
+ */
+const REGISTRATION_PAUSE_MS = 100;
 /** The age of the last proof from which on peers are asked for theirs. */
 const RELAY_AFTER_MS = 4_500;
 const RELAY_TIMEOUT_MS = 300;
@@ -154,6 +159,7 @@
         this.tell({kind: 'watched', answer: result.value});
         // The next request must name the version that the answer brought.
         await this.settled();
+        if (this.mayPause(result.value)) await sleep(REGISTRATION_PAUSE_MS);
         continue;
       }
       if (result.err.kind === 'history-lost') {
@@ -171,6 +177,12 @@
     }
   }
 
+  /** A VM that has not joined waits for its own registration. */
+  private mayPause({rows, removed}: TableAnswer): boolean {
+    const isVms = rows.length > 0 && removed.length === 0;
+    return this.view.joined === 'joined' && isVms && rows.every(isVmRow);
+  }
+
   private settled(): Promise<void> {
     return new Promise(resolve => {
       setImmediate(resolve);
--- a/packages/gateway/src/testing/fake_store.ts
+++ b/packages/gateway/src/testing/fake_store.ts
@@ -16,6 +16,8 @@
 export class FakeStore extends TransactionalStore {
   readonly rows = new Map<string, TableRow>();
   version = 1;
+  /** Requests for changes that brought some. */
+  newsAnswered = 0;
   mood: StoreMood = 'answers';
   private readonly history: Array<{key: string; version: number}> = [];
   private waiters: Array<() => void> = [];
@@ -54,6 +56,7 @@
     const keys = new Set(
       this.history.filter(item => item.version > after).map(item => item.key),
     );
+    if (keys.size > 0) this.newsAnswered++;
     const rows = [...keys].flatMap(key => this.rows.get(key) ?? []);
     const removed = [...keys].filter(key => !this.rows.has(key));
     return ok(this.answer(rows, removed));
