Mend a stand-in that showed fewer commits after a promotion

Traced in history.jsonl: the member had committed number 146 while a slow apply from before its promotion, 3 s late, set what it shows back to 97. Members of the platform do not go back; the fault was in the stand-in, and no check was changed.

--- a/soak/src/world/database_group.ts
+++ b/soak/src/world/database_group.ts
@@ -163,9 +163,7 @@
       setTimeout(() => {
         if (!this.mayTake(primary, replica, newest)) return;
         replica.received = newest;
-        setTimeout(() => {
-          if (isInLog(newest, replica.received)) replica.applied = newest;
-        }, replica.lagMs);
+        setTimeout(() => apply(replica, newest), replica.lagMs);
       }, 2);
     }
   }
@@ -185,6 +183,12 @@
   }
 }
 
+/** Shows a commit to reads, unless a promotion showed more or dropped it. */
+function apply(member: GroupMember, commit: Commit | undefined): void {
+  if ((commit?.number ?? 0) <= (member.applied?.number ?? 0)) return;
+  if (isInLog(commit, member.received)) member.applied = commit;
+}
+
 /** Whether a log that ends with `end` holds a commit. */
 export function isInLog(
   commit: Commit | undefined,
