Keep the stand-ins of the platform in its folder

Cause: the soak spoke the platform's protocol outside of platform/, whose test of names did not look there. Change: members, store, orders, operators and the callers' protocol of the soak are stand-ins in platform/src/__tests__/standins; the soak itself sends typed commands.

--- a/soak/src/checks/__tests__/check_history.test.ts
+++ b/soak/src/checks/__tests__/check_history.test.ts
@@ -1,6 +1,12 @@
 import {describe, expect, it} from 'vitest';
-import {newHistory} from '../../world/history.js';
-import type {Commit, History, Operation, Run} from '../../world/history.js';
+import {newHistory} from '@pistachiorill/platform/standins';
+import type {
+  Commit,
+  History,
+  Operation,
+  Run,
+  SentStatement,
+} from '@pistachiorill/platform/standins';
 import {checkHistory} from '../check_history.js';
 import type {CheckContext} from '../check_history.js';
 
@@ -51,8 +57,14 @@
   };
 }
 
-function statement(id: string, text: string) {
-  return {id, text, sentAt: 300, answer: {signature: `sig-${id}`, rows: []}};
+function statement(id: string, text: string): SentStatement {
+  return {
+    id,
+    text,
+    access: text.startsWith('READ') ? 'read' : 'write',
+    sentAt: 300,
+    answer: {signature: `sig-${id}`, rows: []},
+  };
 }
 
 /** Two writes that were acknowledged and one read that sees both. */
--- a/soak/src/checks/check_history.ts
+++ b/soak/src/checks/check_history.ts
@@ -1,7 +1,15 @@
-import {isInLog} from '../world/database_group.js';
-import type {Commit, History, Operation, Run} from '../world/history.js';
-import {CONFIGURATION_BOUND_MS, MAX_AGE_MS} from '../world/operators.js';
-import type {DatabaseKind} from '../world/operators.js';
+import {
+  CONFIGURATION_BOUND_MS,
+  MAX_AGE_MS,
+  isInLog,
+} from '@pistachiorill/platform/standins';
+import type {
+  Commit,
+  DatabaseKind,
+  History,
+  Operation,
+  Run,
+} from '@pistachiorill/platform/standins';
 
 /** Which promise was broken. */
 export type BrokenPromise =
@@ -206,7 +214,7 @@
         undefined,
       );
     return statements
-      .filter(({text}) => text.startsWith('READ'))
+      .filter(({access}) => access === 'read')
       .flatMap(({id}) => runs.get(id) ?? [])
       .filter(run => !isInLog(newest, run.sees))
       .map(run =>
--- a/soak/src/clients/caller.ts
+++ b/soak/src/clients/caller.ts
@@ -1,31 +1,23 @@
 import type {Random} from '@pistachiorill/core';
 import {sleep} from '@pistachiorill/tasks';
+import {
+  DATABASES,
+  LineClient,
+  WORKSPACES,
+  databaseName,
+  keyOf,
+  textAtMember,
+} from '@pistachiorill/platform/standins';
 import type {
+  ClientAnswer,
+  ClientCommand,
+  DatabaseKind,
   History,
   Operation,
   OperationKind,
   OperationOutcome,
   SentStatement,
-} from '../world/history.js';
-import {
-  DATABASES,
-  WORKSPACES,
-  databaseName,
-  keyOf,
-} from '../world/operators.js';
-import type {DatabaseKind} from '../world/operators.js';
-import {LineClient} from './line_client.js';
-import type {ClientAnswer} from './line_client.js';
-
-/** Codes after which nothing of the attempt may be kept. */
-const PROMISES: ReadonlySet<string> = new Set([
-  'BUSY',
-  'ABORTED',
-  'LAGGING',
-  'READONLY',
-  'MISROUTED',
-  'TOOMANY',
-]);
+} from '@pistachiorill/platform/standins';
 
 /** Operations after which a caller opens another session. */
 const OPERATIONS_PER_SESSION = 25;
@@ -92,8 +84,11 @@
     const name = databaseName(group, database);
     const client = await LineClient.open(address, name, key);
     if (!client) return undefined;
-    const tagged = await client.run(this.nextId(), `SET tag ${id}`);
-    await client.run(this.nextId(), 'PREPARE p READ shape');
+    const tagged = await client.run(this.nextId(), {
+      kind: 'tag',
+      value: id,
+    });
+    await client.run(this.nextId(), {kind: 'prepare'});
     if (tagged.kind === 'complete') return {id, client, group, database, key};
     client.close();
     return undefined;
@@ -110,8 +105,8 @@
     const startedAt = this.tools.clock();
     const item = this.item();
     const isPrepared = this.tools.random.fraction() < 0.5;
-    const text = isPrepared ? `EXECUTE p ${item}` : `READ ${item}`;
-    const [statement, answer] = await this.send(session, text, `READ ${item}`);
+    const kind = isPrepared ? 'read-prepared' : 'read';
+    const [statement, answer] = await this.send(session, {kind, item});
     const outcome = answer.kind === 'complete' ? 'success' : 'unknown';
     this.note(session, 'read', startedAt, [statement], outcome, answer);
   }
@@ -119,8 +114,11 @@
   private async write(session: CallerSession): Promise<void> {
     const startedAt = this.tools.clock();
     const data = `${session.id}-${this.statements}`;
-    const text = `WRITE ${this.item()} ${data}`;
-    const [statement, answer] = await this.send(session, text);
+    const [statement, answer] = await this.send(session, {
+      kind: 'write',
+      item: this.item(),
+      data,
+    });
     const outcome = outcomeOf(answer);
     this.note(session, 'write', startedAt, [statement], outcome, answer, data);
   }
@@ -141,15 +139,16 @@
         last,
         data,
       );
-    await this.send(session, 'BEGIN');
-    for (const text of [
-      `READ ${this.item()}`,
-      `WRITE ${this.item()} ${data}`,
-    ]) {
-      const [statement, answer] = await this.send(session, text);
+    await this.send(session, {kind: 'begin'});
+    const commands: readonly ClientCommand[] = [
+      {kind: 'read', item: this.item()},
+      {kind: 'write', item: this.item(), data},
+    ];
+    for (const command of commands) {
+      const [statement, answer] = await this.send(session, command);
       statements.push(statement);
       if (answer.kind !== 'complete') {
-        await this.send(session, 'ROLLBACK');
+        await this.send(session, {kind: 'rollback'});
         return note('nothing-kept', answer);
       }
       await sleep(this.tools.random.integer(0, MAX_PAUSE_MS));
@@ -158,22 +157,22 @@
       session.client.close();
       return note('nothing-kept', {kind: 'none', detail: 'left'});
     }
-    const [commit, answer] = await this.send(session, 'COMMIT');
+    const [commit, answer] = await this.send(session, {kind: 'commit'});
     statements.push(commit);
     note(outcomeOf(answer), answer);
   }
 
   private async send(
     session: CallerSession,
-    text: string,
-    textAtMember = text,
+    command: ClientCommand,
   ): Promise<[SentStatement, ClientAnswer]> {
     const id = this.nextId();
     const sentAt = this.tools.clock();
-    const answer = await session.client.run(id, text);
+    const answer = await session.client.run(id, command);
     const statement: SentStatement = {
       id,
-      text: textAtMember,
+      text: textAtMember(command),
+      access: command.kind.startsWith('read') ? 'read' : 'write',
       sentAt,
       answer:
         answer.kind === 'complete'
@@ -224,6 +223,6 @@
 /** What an answer promises of a write or a commit. */
 function outcomeOf(answer: ClientAnswer): OperationOutcome {
   if (answer.kind === 'complete') return 'success';
-  const isPromise = answer.kind === 'error' && PROMISES.has(answer.code);
-  return isPromise ? 'nothing-kept' : 'unknown';
+  if (answer.kind === 'none') return 'unknown';
+  return answer.promise === 'nothing-kept' ? 'nothing-kept' : 'unknown';
 }
--- a/soak/src/faults/fault_injector.ts
+++ b/soak/src/faults/fault_injector.ts
@@ -1,9 +1,12 @@
+import {WORKSPACES} from '@pistachiorill/platform/standins';
+import type {
+  FaultProxy,
+  PlatformWorld,
+  ProxyMode,
+  StoreMood,
+} from '@pistachiorill/platform/standins';
 import type {VmProcess} from '../vm_process.js';
-import {WORKSPACES} from '../world/operators.js';
-import type {PlatformWorld} from '../world/platform_world.js';
-import type {StoreMood} from '../world/store_server.js';
 import type {Fault, FaultKind} from './fault_plan.js';
-import type {FaultProxy, ProxyMode} from './fault_proxy.js';
 
 const BEHIND_LAG_MS = 3_000;
 const USUAL_LAG_MS = 20;
--- a/soak/src/run_soak.ts
+++ b/soak/src/run_soak.ts
@@ -4,6 +4,15 @@
 import {performance} from 'node:perf_hooks';
 import {Random} from '@pistachiorill/core';
 import {findFreePorts} from '@pistachiorill/launcher';
+import {
+  HOST,
+  PlatformWorld,
+  READY_PATH,
+  WORKSPACES,
+  keyOf,
+  newHistory,
+} from '@pistachiorill/platform/standins';
+import type {History} from '@pistachiorill/platform/standins';
 import {sleep} from '@pistachiorill/tasks';
 import {checkHistory} from './checks/check_history.js';
 import type {Violation} from './checks/check_history.js';
@@ -11,11 +20,6 @@
 import {FaultInjector} from './faults/fault_injector.js';
 import {planFaults} from './faults/fault_plan.js';
 import {VmProcess} from './vm_process.js';
-import {newHistory} from './world/history.js';
-import type {History} from './world/history.js';
-import {HOST} from './world/listen.js';
-import {WORKSPACES, keyOf} from './world/operators.js';
-import {PlatformWorld} from './world/platform_world.js';
 
 export interface SoakSettings {
   readonly seed: number;
@@ -124,7 +128,7 @@
 
 function isReady(port: number): Promise<boolean> {
   return new Promise(resolve => {
-    const req = get({host: HOST, port, path: '/api/ready'}, res => {
+    const req = get({host: HOST, port, path: READY_PATH}, res => {
       res.resume();
       resolve(res.statusCode === 200);
     });
--- a/soak/src/vm_process.ts
+++ b/soak/src/vm_process.ts
@@ -2,8 +2,8 @@
 import type {ChildProcess} from 'node:child_process';
 import {closeSync, openSync, writeFileSync} from 'node:fs';
 import {join} from 'node:path';
-import {HOST} from './world/listen.js';
-import type {VmPaths} from './world/platform_world.js';
+import {HOST} from '@pistachiorill/platform/standins';
+import type {VmPaths} from '@pistachiorill/platform/standins';
 
 /** Ports of one VM, claimed before it starts. */
 export interface VmPorts {
