List the members at a few VMs of a large fleet, and take no older list

Cause: each VM reads the whole list of members every 2 s, at 70 VMs most of the priced calls to the store. Change: above 12 VMs eight of them, chosen by rendezvous hash, read it once a second and the others ask one of these once a second; a list that is over 1.5 s old, or no answer, sends the VM to the store itself. Small fleets read it as before. Found on the way: while the store was away for one VM, a peer's older list took back that a member leaves, so that it would get new work. Lists now carry the time at which the store held them, and an older one is not taken. Ruled out: the feed of changes, as each heartbeat of each member is one. Before: the test 'a peer has an older list' shows the member ready again (no list had an age); after: it stays leaving. 7 tests.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -11,6 +11,7 @@
 export {Filter} from './common/filter.js';
 export {Random} from './common/random.js';
 export {rendezvousOrder} from './common/rendezvous.js';
+export {representativesOf} from './common/representatives.js';
 export {fail, ok} from './common/result.js';
 export type {Result} from './common/result.js';
 export type * from './configuration/configuration.js';
--- a/packages/core/src/quota/transfer/workspace_homes.ts
+++ b/packages/core/src/quota/transfer/workspace_homes.ts
@@ -1,13 +1,8 @@
-import {rendezvousOrder} from '../../common/rendezvous.js';
+import {representativesOf} from '../../common/representatives.js';
 import {WHOLE_PPM} from '../quota_limits.js';
 import {isRevoked} from './share_table.js';
 import type {ShareTable} from './share_table.js';
 
-/** In fleets up to this size every VM has a part of every rate. */
-const WHOLE_FLEET_LIMIT = 12;
-/** VMs that hold the rate of one workspace in a larger fleet. */
-const HOME_COUNT = 8;
-
 /**
  * The VMs that accrue a workspace's tokens. In a large fleet a part for each
  * VM would be less than a token, and one token the sum of many messages; there
@@ -19,8 +14,7 @@
   workspace: string,
 ): readonly string[] {
   const vms = Object.keys(table).filter(vm => (table[vm]?.ppm ?? 0) > 0);
-  if (vms.length <= WHOLE_FLEET_LIMIT) return vms;
-  return rendezvousOrder(workspace, vms).slice(0, HOME_COUNT);
+  return representativesOf(workspace, vms);
 }
 
 /** The part of a workspace's rate that one of its homes may spend. */
--- a/packages/gateway/src/daemon/daemon_peer_handlers.ts
+++ b/packages/gateway/src/daemon/daemon_peer_handlers.ts
@@ -7,7 +7,10 @@
 import type {RelayedConfiguration} from '../peers/gateway_handlers.js';
 import type {StopRequest} from '../peers/gateway_router.js';
 import type {OperatorState} from '../ports/configuration_source.js';
-import type {ListedMember} from '../ports/member_directory.js';
+import type {
+  DirectoryTask,
+  RelayedMembers,
+} from '../operators/directory_task.js';
 import type {QuotaTask} from '../quota/quota_task.js';
 
 export interface PeerHandlerTools {
@@ -16,7 +19,7 @@
   readonly leadership: LeadershipTask;
   readonly quota: QuotaTask;
   readonly operators: () => OperatorState | undefined;
-  readonly members: () => readonly ListedMember[];
+  readonly directory: DirectoryTask;
 }
 
 /** Passes peers' requests to the tasks that own what they ask for. */
@@ -69,8 +72,11 @@
     return {encoded: operators.encoded};
   }
 
-  override directory(): readonly ListedMember[] {
-    return this.tools.members();
+  override async directory(): Promise<RelayedMembers | null> {
+    const relayed = await ask<RelayedMembers | undefined>(reply =>
+      this.tools.directory.tell({kind: 'relay', reply}),
+    );
+    return relayed ?? null;
   }
 
   override tokens(workspace: string, asked: number): Promise<number> {
--- a/packages/gateway/src/daemon/gateway_daemon.ts
+++ b/packages/gateway/src/daemon/gateway_daemon.ts
@@ -202,6 +202,8 @@
       onFailed,
     });
     this.directory = new DirectoryTask({
+      vm,
+      vms: () => [...this.knownView().rows.vms.keys()],
       directory: this.ports.directory,
       peers,
       clock,
@@ -220,7 +222,7 @@
             leadership: this.leadership,
             quota: this.quota,
             operators: () => this.operators,
-            members: () => this.members ?? [],
+            directory: this.directory,
           }),
         },
       },
--- /dev/null
+++ b/packages/gateway/src/operators/__tests__/directory_task.test.ts
@@ -0,0 +1,131 @@
+import {afterEach, describe, expect, it} from 'vitest';
+import {Random, fail, ok, representativesOf} from '@pistachiorill/core';
+import {ask} from '@pistachiorill/tasks';
+import {PeerSet} from '../../peers/peer_set.js';
+import {MemberDirectory} from '../../ports/member_directory.js';
+import type {ListedMember} from '../../ports/member_directory.js';
+import {listedMember, silentLogger} from '../../testing/fake_group.js';
+import {DirectoryTask} from '../directory_task.js';
+import type {RelayedMembers} from '../directory_task.js';
+
+const READY = listedMember('a');
+const LEAVING = listedMember('a', {state: 'leaving'});
+
+/** A store's list that may be away. */
+class FakeDirectory extends MemberDirectory {
+  state: 'answers' | 'away' = 'answers';
+  members: readonly ListedMember[] = [READY, listedMember('b')];
+  reads = 0;
+
+  override async list() {
+    this.reads++;
+    if (this.state === 'answers') return ok(this.members);
+    return fail({kind: 'unavailable' as const, detail: 'away'});
+  }
+}
+
+/** Peers that pass on one list. */
+class FakePeers extends PeerSet {
+  relayed: RelayedMembers | null = null;
+  asked: string[] = [];
+
+  override sample(
+    count: number,
+    unusedPreferred: string | undefined,
+    among?: readonly string[],
+  ): readonly string[] {
+    return (among ?? ['vm-b']).slice(0, count);
+  }
+
+  override async directory(vm: string) {
+    this.asked.push(vm);
+    return ok(this.relayed);
+  }
+}
+
+const closers: Array<() => void> = [];
+afterEach(() => {
+  for (const close of closers.splice(0)) close();
+});
+
+function start(vmCount: number, vm: string) {
+  const offset = {ms: 0};
+  const directory = new FakeDirectory();
+  const peers = new FakePeers(new Random(1));
+  const views: string[] = [];
+  const vms = Array.from({length: vmCount}, (unused, i) => `vm-${i}`);
+  const task = new DirectoryTask({
+    vm,
+    vms: () => vms,
+    directory,
+    peers,
+    clock: () => performance.now() + offset.ms,
+    onMembers: members =>
+      views.push(members.map(item => `${item.member} ${item.state}`).join()),
+    onStoreFailure: () => undefined,
+    log: silentLogger(),
+    onFailed: err => {
+      throw err;
+    },
+  });
+  closers.push(() => task.tell({kind: 'stop'}));
+  const list = async (): Promise<void> => {
+    task.tell({kind: 'list'});
+    await new Promise(resolve => setTimeout(resolve, 30));
+  };
+  return {task, directory, peers, views, offset, vms, list};
+}
+
+describe('DirectoryTask', () => {
+  // Guards against a member that leaves and gets work again, because a peer
+  // passes on an older list while the store is away.
+  it.each([
+    ['older', 5_000],
+    ['newer', 10],
+  ] as const)('a peer has an %s list', async (unusedName, ageMs) => {
+    const {directory, peers, views, offset, list} = start(8, 'vm-0');
+    directory.members = [LEAVING];
+    await list();
+    offset.ms = 1_000;
+    directory.state = 'away';
+    peers.relayed = {members: [READY], ageMs};
+    await list();
+    expect(views).toMatchSnapshot();
+  });
+
+  // Guards against a read of the whole list by every VM of a large fleet, and
+  // against a VM without a list when those that read it do not answer.
+  it.each([
+    ['of a small fleet', 8, 'reader', 10],
+    ['that reads for all', 40, 'reader', 10],
+    ['that asks one that reads', 40, 'other', 10],
+    ['whose reader has an old list', 40, 'other', 4_000],
+  ] as const)('a VM %s', async (unusedName, vmCount, role, ageMs) => {
+    const names = Array.from({length: vmCount}, (unused, i) => `vm-${i}`);
+    const readers = representativesOf('members', names);
+    const vm = names.find(
+      name => readers.includes(name) === (role === 'reader'),
+    );
+    const {directory, peers, views, list} = start(vmCount, vm ?? '');
+    peers.relayed = {members: [READY], ageMs};
+    await list();
+    expect({
+      reads: directory.reads,
+      asked: peers.asked.every(name => readers.includes(name)),
+      views,
+    }).toMatchSnapshot();
+  });
+
+  // Guards against a list that is passed on as new by VM after VM.
+  it('passes on the age of its list', async () => {
+    const {task, directory, peers, offset, list} = start(8, 'vm-0');
+    directory.state = 'away';
+    peers.relayed = {members: [READY], ageMs: 3_000};
+    await list();
+    offset.ms = 500;
+    const relayed = await ask<RelayedMembers | undefined>(reply =>
+      task.tell({kind: 'relay', reply}),
+    );
+    expect(relayed?.ageMs).toBeGreaterThanOrEqual(3_500);
+  });
+});
--- a/packages/gateway/src/peers/gateway_handlers.ts
+++ b/packages/gateway/src/peers/gateway_handlers.ts
@@ -1,6 +1,6 @@
 import type {LogPosition, PrimarySighting} from '@pistachiorill/core';
 import type {RelayedRows} from '../fleet/fleet_task.js';
-import type {ListedMember} from '../ports/member_directory.js';
+import type {RelayedMembers} from '../operators/directory_task.js';
 import type {StopRequest} from './gateway_router.js';
 
 /** A configuration in the form in which the store holds it. */
@@ -18,6 +18,6 @@
   abstract suspect(group: string): void;
   abstract relay(): Promise<RelayedRows | null>;
   abstract configuration(newerThan: number): RelayedConfiguration | null;
-  abstract directory(): readonly ListedMember[];
+  abstract directory(): Promise<RelayedMembers | null>;
   abstract tokens(workspace: string, asked: number): Promise<number>;
 }
--- a/packages/gateway/src/peers/peer_set.ts
+++ b/packages/gateway/src/peers/peer_set.ts
@@ -11,7 +11,7 @@
 import {createTRPCClient} from '@trpc/client';
 import type {TRPCClient} from '@trpc/client';
 import type {RelayedRows} from '../fleet/fleet_task.js';
-import type {ListedMember} from '../ports/member_directory.js';
+import type {RelayedMembers} from '../operators/directory_task.js';
 import type {RelayedConfiguration} from './gateway_handlers.js';
 import type {GatewayRouter, StopRequest} from './gateway_router.js';
 
@@ -118,7 +118,7 @@
     );
   }
 
-  directory(vm: string, timeoutMs: number): Answer<readonly ListedMember[]> {
+  directory(vm: string, timeoutMs: number): Answer<RelayedMembers | null> {
     return this.call(vm, timeoutMs, (c, o) => c.directory.mutate(undefined, o));
   }
 
