Record when the store last confirmed the configuration

Change: records of the configuration carry the time since the store's last confirmation and the replaced version; a lost history is recorded; two gauges show the version in force and the time of the last confirmation.

--- a/packages/gateway/src/daemon/gateway_daemon.ts
+++ b/packages/gateway/src/daemon/gateway_daemon.ts
@@ -6,7 +6,6 @@
   RowTransaction,
   StoreWriteError,
   TransactionResult,
-  TransactionalStore,
 } from '@pistachiorill/store';
 import type {Result} from '@pistachiorill/core';
 import {Pipeline, ask, sleep} from '@pistachiorill/tasks';
@@ -23,17 +22,9 @@
 import {GATEWAY_ROUTER} from '../peers/gateway_router.js';
 import {PeerSet} from '../peers/peer_set.js';
 import type {CallerLink, CallerServer} from '../ports/caller_link.js';
-import type {
-  ConfigurationSource,
-  OperatorState,
-} from '../ports/configuration_source.js';
-import type {ListedMember, MemberDirectory} from '../ports/member_directory.js';
-import type {MemberLinkFactory} from '../ports/member_link.js';
-import type {PrimaryPromoter} from '../ports/primary_promoter.js';
-import type {
-  Readiness,
-  ReadinessEndpoint,
-} from '../ports/readiness_endpoint.js';
+import type {OperatorState} from '../ports/configuration_source.js';
+import type {ListedMember} from '../ports/member_directory.js';
+import type {Readiness} from '../ports/readiness_endpoint.js';
 import {QuotaTask} from '../quota/quota_task.js';
 import {WorkspaceShares} from '../quota/workspace_shares.js';
 import {AdmitFilter} from '../session/admit_filter.js';
@@ -43,6 +34,7 @@
 import type {SessionDependencies} from '../session/session_message.js';
 import {GatewayMetrics} from '../telemetry/gateway_metrics.js';
 import {DaemonPeerHandlers} from './daemon_peer_handlers.js';
+import type {GatewayPorts, OpenPorts} from './gateway_ports.js';
 import type {GatewaySettings} from './gateway_settings.js';
 import {serveMetrics} from './http_endpoints.js';
 
@@ -55,23 +47,6 @@
 /** The monotonic clock counts from the start of the process. */
 const PROCESS_START_MS = 0;
 
-/** The adapters through which the gateway uses its platform. */
-export interface GatewayPorts {
-  readonly callers: CallerServer;
-  readonly links: MemberLinkFactory;
-  readonly source: ConfigurationSource;
-  readonly directory: MemberDirectory;
-  readonly orders: PrimaryPromoter;
-  readonly store: TransactionalStore;
-  readonly readiness: ReadinessEndpoint;
-}
-
-/** Creates the ports with the daemon's clock. */
-export type OpenPorts = (deps: {
-  readonly clock: () => number;
-  readonly log: Logger;
-}) => GatewayPorts;
-
 /** Creates and connects the tasks of one VM, and starts and stops them. */
 export class GatewayDaemon {
   private readonly clock: () => number;
@@ -203,6 +178,8 @@
     this.configuration = new ConfigurationTask({
       source: this.ports.source,
       peers,
+      clock,
+      onConfirmed: () => this.metrics.configurationConfirmed(),
       onApplied: state => this.applyOperatorState(state),
       onStoreFailure,
       log,
@@ -380,6 +357,7 @@
     this.operators = state;
     const {configuration} = state;
     if (!configuration) return;
+    this.metrics.configurationApplied(configuration.version);
     this.databases.updateOperatorState(state);
     this.quota.tell({
       kind: 'limits',
--- /dev/null
+++ b/packages/gateway/src/daemon/gateway_ports.ts
@@ -0,0 +1,25 @@
+import type {TransactionalStore} from '@pistachiorill/store';
+import type {Logger} from '@pistachiorill/telemetry';
+import type {CallerServer} from '../ports/caller_link.js';
+import type {ConfigurationSource} from '../ports/configuration_source.js';
+import type {MemberDirectory} from '../ports/member_directory.js';
+import type {MemberLinkFactory} from '../ports/member_link.js';
+import type {PrimaryPromoter} from '../ports/primary_promoter.js';
+import type {ReadinessEndpoint} from '../ports/readiness_endpoint.js';
+
+/** The adapters through which the gateway uses its platform. */
+export interface GatewayPorts {
+  readonly callers: CallerServer;
+  readonly links: MemberLinkFactory;
+  readonly source: ConfigurationSource;
+  readonly directory: MemberDirectory;
+  readonly orders: PrimaryPromoter;
+  readonly store: TransactionalStore;
+  readonly readiness: ReadinessEndpoint;
+}
+
+/** Creates the ports with the daemon's clock. */
+export type OpenPorts = (deps: {
+  readonly clock: () => number;
+  readonly log: Logger;
+}) => GatewayPorts;
--- a/packages/gateway/src/operators/configuration_task.ts
+++ b/packages/gateway/src/operators/configuration_task.ts
@@ -1,4 +1,5 @@
 import {Task, sleep} from '@pistachiorill/tasks';
+import type {Clock} from '@pistachiorill/tasks';
 import type {Logger} from '@pistachiorill/telemetry';
 import type {
   ConfigurationSource,
@@ -28,6 +29,9 @@
 export interface ConfigurationDependencies {
   readonly source: ConfigurationSource;
   readonly peers: PeerSet;
+  readonly clock: Clock;
+  /** Called when the store confirms which state is the newest. */
+  readonly onConfirmed: () => void;
   readonly onApplied: (state: OperatorState) => void;
   readonly onStoreFailure: (call: string) => void;
   readonly log: Logger;
@@ -41,6 +45,8 @@
 export class ConfigurationTask extends Task<ConfigurationMessage> {
   private current: OperatorState | undefined;
   private phase: 'running' | 'stopped' = 'running';
+  /** When the store last confirmed which state is the newest. */
+  private confirmedAt: number | undefined;
 
   constructor(private readonly deps: ConfigurationDependencies) {
     super();
@@ -53,6 +59,7 @@
         return;
       case 'received':
         this.applyIfNewer(message.state, message.from);
+        if (message.from === 'store') this.confirm(this.deps.clock());
         return;
       case 'stop':
         this.phase = 'stopped';
@@ -69,7 +76,7 @@
    * answer.
    */
   private async follow(): Promise<void> {
-    const {source, log} = this.deps;
+    const {source, clock, log} = this.deps;
     let retryMs = FIRST_RETRY_MS;
     let next: 'read' | 'wait' = 'read';
     let store: 'answering' | 'failing' = 'answering';
@@ -92,12 +99,26 @@
         continue;
       }
       next = 'read';
-      if (result.err.kind === 'history-lost') continue;
+      if (result.err.kind === 'history-lost') {
+        log.info(
+          {
+            event: 'configuration.history-lost',
+            revision: this.current?.revision,
+            unconfirmedMs: this.unconfirmedMs(clock()),
+          },
+          'the store lost the changes of the configuration; reading it again',
+        );
+        continue;
+      }
       this.deps.onStoreFailure('configuration');
       if (store === 'answering') {
         const {detail} = result.err;
         log.warn(
-          {event: 'configuration.store-fails', detail},
+          {
+            event: 'configuration.store-fails',
+            detail,
+            unconfirmedMs: this.unconfirmedMs(clock()),
+          },
           'the configuration store does not answer',
         );
       }
@@ -126,6 +147,17 @@
     );
   }
 
+  private confirm(now: number): void {
+    this.confirmedAt = now;
+    this.deps.onConfirmed();
+  }
+
+  /** The time since the store confirmed the state; undefined if it never did. */
+  private unconfirmedMs(now: number): number | undefined {
+    if (this.confirmedAt === undefined) return undefined;
+    return Math.round(now - this.confirmedAt);
+  }
+
   private applyIfNewer(state: OperatorState, from: 'store' | 'peer'): void {
     const before = this.current;
     if (before && state.revision <= before.revision) return;
@@ -136,6 +168,8 @@
         from,
         revision: state.revision,
         version: state.configuration?.version,
+        previousVersion: before?.configuration?.version,
+        unconfirmedMs: this.unconfirmedMs(this.deps.clock()),
         routes: state.configuration?.routes.size,
         out: [...state.dataCentresOut],
       },
--- a/packages/gateway/src/telemetry/gateway_metrics.ts
+++ b/packages/gateway/src/telemetry/gateway_metrics.ts
@@ -1,4 +1,4 @@
-import {Counter, Histogram, Registry} from 'prom-client';
+import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
 const LATENCY_BUCKETS_S = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 2, 6];
 
@@ -35,6 +35,28 @@
     registers: [this.registry],
   });
 
+  private readonly configurationVersion = new Gauge({
+    name: 'pistachiorill_gateway_configuration_version',
+    help: 'Version of the configuration that is in force on this VM.',
+    registers: [this.registry],
+  });
+
+  private readonly configurationConfirmedAt = new Gauge({
+    name: 'pistachiorill_gateway_configuration_confirmed_timestamp_seconds',
+    help: 'Time at which the store last confirmed the newest configuration.',
+    registers: [this.registry],
+  });
+
+  /** Records the version of the configuration that is now in force. */
+  configurationApplied(version: number): void {
+    this.configurationVersion.set(version);
+  }
+
+  /** Records that the store just confirmed the newest configuration. */
+  configurationConfirmed(): void {
+    this.configurationConfirmedAt.setToCurrentTime();
+  }
+
   /** Records the latency of an answered statement, by its kind of access. */
   answered(access: string, tookMs: number): void {
     this.statementSeconds.observe({access}, tookMs / 1_000);
