Reproduce stale reads that replace newer rows, and a silent watch

Cause: a full read after a lost history may be older than the watch before it.

The fake store can lose its history and return an older read.

--- a/packages/gateway/src/fleet/__tests__/fleet_task.test.ts
+++ b/packages/gateway/src/fleet/__tests__/fleet_task.test.ts
@@ -162,4 +162,30 @@
     const record = view?.rows.leadership.get('wash')?.record;
     expect({record, proven, version: view?.version}).toMatchSnapshot();
   });
+
+  // Guards against a primary lease on an older record, because the read after a
+  // lost history is older than the watch before it.
+  it.fails('rejects a read that is older than its copy', async () => {
+    const {store, views} = start(fake => fake.put('leadership/wash', LED));
+    await settle(80);
+    const old = store.copy();
+    store.put('leadership/wash', {
+      phase: 'moving',
+      from: 'a',
+      reason: 'unreachable',
+    });
+    await settle();
+    store.staleReads.push(old);
+    store.loseHistory();
+    await settle(400);
+    store.put('duty', {holder: 'vm-a', fence: 1, acquiredAtStoreMs: 0});
+    await settle();
+    const phases = views.map(
+      ({rows, version}) =>
+        `${version}: ${rows.leadership.get('wash')?.record.phase}`,
+    );
+    expect(new Set(phases)).toEqual(
+      new Set(['2: settled', '3: settled', '4: moving', '5: moving']),
+    );
+  });
 });
--- /dev/null
+++ b/packages/gateway/src/operators/__tests__/configuration_task.test.ts
@@ -0,0 +1,103 @@
+import {Random, fail, ok} from '@pistachiorill/core';
+import type {Result} from '@pistachiorill/core';
+import type {StoreReadError} from '@pistachiorill/store';
+import {sleep} from '@pistachiorill/tasks';
+import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
+import {PeerSet} from '../../peers/peer_set.js';
+import {ConfigurationSource} from '../../ports/configuration_source.js';
+import type {OperatorState} from '../../ports/configuration_source.js';
+import {silentLogger} from '../../testing/fake_group.js';
+import {ConfigurationTask} from '../configuration_task.js';
+
+/** The time within which a change must be in force on every VM. */
+const APPLY_WITHIN_MS = 3_000;
+/** How long the client of the store waits for an answer that is overdue. */
+const ANSWER_MARGIN_MS = 900;
+
+/** A source whose open watches can go silent, as a connection can. */
+class FakeSource extends ConfigurationSource {
+  private revision = 1;
+  private silencedWatches = 0;
+  private watches = 0;
+  private readonly waiting: Array<() => void> = [];
+
+  /** Writes a new state, which all watches but the silent ones receive. */
+  write(): void {
+    this.revision++;
+    for (const wake of this.waiting.splice(0)) wake();
+  }
+
+  /** Silences the connections of all open watches for good. */
+  silence(): void {
+    this.silencedWatches = this.watches;
+  }
+
+  override async read(): Promise<Result<OperatorState, StoreReadError>> {
+    return ok(this.state());
+  }
+
+  override async next(
+    waitMs: number,
+  ): Promise<Result<OperatorState, StoreReadError>> {
+    const watch = ++this.watches;
+    const until = performance.now() + waitMs;
+    const changed = new Promise<void>(resolve => this.waiting.push(resolve));
+    await Promise.race([changed, sleep(waitMs)]);
+    if (watch > this.silencedWatches) return ok(this.state());
+    await sleep(until + ANSWER_MARGIN_MS - performance.now());
+    return fail({kind: 'unavailable', detail: 'no answer'});
+  }
+
+  override decode(): undefined {
+    return undefined;
+  }
+
+  private state(): OperatorState {
+    const {revision} = this;
+    return {
+      configuration: undefined,
+      dataCentresOut: new Set(),
+      encoded: '',
+      revision,
+    };
+  }
+}
+
+beforeEach(() => {
+  vi.useFakeTimers();
+});
+afterEach(() => {
+  vi.useRealTimers();
+});
+
+function start() {
+  const source = new FakeSource();
+  const applied: number[] = [];
+  const task = new ConfigurationTask({
+    source,
+    peers: new PeerSet(new Random(1)),
+    clock: () => performance.now(),
+    onConfirmed: () => undefined,
+    onApplied: ({revision}) => applied.push(revision),
+    onStoreFailure: () => undefined,
+    log: silentLogger(),
+    onFailed: err => {
+      throw err;
+    },
+  });
+  task.tell({kind: 'start'});
+  return {source, applied};
+}
+
+describe('ConfigurationTask', () => {
+  // Guards against a change that is applied late, because the watch waits on a
+  // connection that has gone silent.
+  it.fails('applies a change in time if its watch is silent', async () => {
+    const {source, applied} = start();
+    await vi.advanceTimersByTimeAsync(100);
+    source.silence();
+    source.write();
+    await vi.advanceTimersByTimeAsync(APPLY_WITHIN_MS);
+    expect(applied).toEqual([1, 2]);
+  });
+});
--- a/packages/gateway/src/testing/fake_store.ts
+++ b/packages/gateway/src/testing/fake_store.ts
@@ -23,6 +23,9 @@
   /** The number of `changes` requests that returned changes. */
   changesDelivered = 0;
   mode: StoreFaultMode = 'answers';
+  /** Answers of the next calls of `readAll`, which may be older than the rows. */
+  readonly staleReads: TableReadResult[] = [];
+  private historyState: 'kept' | 'lost' = 'kept';
   private readonly history: Array<{key: string; version: number}> = [];
   private pendingPolls: Array<() => void> = [];
 
@@ -39,9 +42,21 @@
     for (const wake of this.pendingPolls.splice(0)) wake();
   }
 
+  /** Makes the next request for changes report that the history is lost. */
+  loseHistory(): void {
+    this.historyState = 'lost';
+    for (const wake of this.pendingPolls.splice(0)) wake();
+  }
+
+  /** Returns all rows as `readAll` does, for use as a stale read later. */
+  copy(): TableReadResult {
+    return this.answer([...this.rows.values()], []);
+  }
+
   override async readAll(): Promise<Result<TableReadResult, StoreReadError>> {
     if (this.mode === 'down') return fail({kind: 'unavailable', detail: ''});
-    return ok(this.answer([...this.rows.values()], []));
+    const stale = this.staleReads.shift();
+    return ok(stale ? {...stale, ...this.timing()} : this.copy());
   }
 
   override async changes(
@@ -58,6 +73,10 @@
         });
       });
     }
+    if (this.historyState === 'lost') {
+      this.historyState = 'kept';
+      return fail({kind: 'history-lost'});
+    }
     const keys = new Set(
       this.history.filter(item => item.version > after).map(item => item.key),
     );
