Never replace a copy of a table by an older read

What callers saw (reproduced; not shown to be what the users saw): a change of the configuration that came back older, and stayed older until the next one.

Cause: after a lost history the store may answer a full read from a state some seconds old. StoreConfigurationSource and FleetTask replaced their rows by it and kept the higher version, so that the older rows counted as the newest ones and the changes in between were never asked for. StoreMemberDirectory dated such a list by the local clock. In FleetTask the proof of a primary lease was renewed with it: a VM could have used a primary whose replacement it had read before.

Change: TableCopy holds the rows of a table with the version for which they are complete. A rejected answer is handled as a store that does not answer: recorded with both versions, retried, and peers are asked. The messages of FleetTask move to fleet_message.ts.

Ruled out: continuing from the older version. The watch would deliver the changes again, but until then the older configuration is in force.

--- a/packages/gateway/src/daemon/daemon_peer_handlers.ts
+++ b/packages/gateway/src/daemon/daemon_peer_handlers.ts
@@ -1,7 +1,8 @@
 import type {LogPosition, PrimaryObservation} from '@pistachiorill/core';
 import {ask} from '@pistachiorill/tasks';
 import type {DatabaseTask} from '../database/database_task.js';
-import type {FleetTask, RelayedRows} from '../fleet/fleet_task.js';
+import type {RelayedRows} from '../fleet/fleet_message.js';
+import type {FleetTask} from '../fleet/fleet_task.js';
 import type {LeadershipTask} from '../leadership/leadership_task.js';
 import {GatewayHandlers} from '../peers/gateway_handlers.js';
 import type {RelayedConfiguration} from '../peers/gateway_handlers.js';
--- a/packages/gateway/src/fleet/fleet_task.ts
+++ b/packages/gateway/src/fleet/fleet_task.ts
@@ -1,5 +1,6 @@
 import {
   UNKNOWN_STORE_CLOCK,
+  fail,
   widenStoreClock,
   narrowStoreClock,
   earliestStoreTime,
@@ -7,20 +8,22 @@
   latestStoreTime,
 } from '@pistachiorill/core';
 import type {StoreClock, StoreProof} from '@pistachiorill/core';
+import {TableCopy, describeStaleAnswer} from '@pistachiorill/store';
 import type {
   RowTransaction,
+  StoreReadError,
   StoreTiming,
   StoreWriteError,
   TableReadResult,
-  TableRow,
   TransactionResult,
   TransactionalStore,
 } from '@pistachiorill/store';
 import type {Result} from '@pistachiorill/core';
 import {Task, sleep} from '@pistachiorill/tasks';
-import type {Clock, Reply} from '@pistachiorill/tasks';
+import type {Clock} from '@pistachiorill/tasks';
 import type {Logger} from '@pistachiorill/telemetry';
 import type {PeerSet} from '../peers/peer_set.js';
+import type {FleetMessage, ReadScope, RelayedRows} from './fleet_message.js';
 import {SHARES_KEY, decodeRows, isVmRow, vmKey} from './fleet_rows.js';
 import type {FleetRows, VmRegistration} from './fleet_rows.js';
 import type {FleetView} from './fleet_view.js';
@@ -43,45 +46,6 @@
 const RELAY_TIMEOUT_MS = 300;
 const RELAY_PEER_COUNT = 2;
 
-/** A VM's copy of the rows, as it is sent to a peer. */
-export interface RelayedRows {
-  readonly rows: readonly TableRow[];
-  readonly version: number;
-  readonly asOfStoreMs: number;
-  /** Bounds of the store's clock when the VM sent the copy. */
-  readonly earliestStoreMs: number;
-  readonly latestStoreMs: number;
-}
-
-export type FleetMessage =
-  | {readonly kind: 'start'}
-  /** The store answered a read or a request for changes. */
-  | {readonly kind: 'watched'; readonly answer: TableReadResult}
-  | {
-      readonly kind: 'transact';
-      readonly transaction: RowTransaction;
-      readonly reply: Reply<Result<TransactionResult, StoreWriteError>>;
-    }
-  /** The store accepted a transaction of this VM. */
-  | {
-      readonly kind: 'written';
-      readonly transaction: RowTransaction;
-      readonly answer: TransactionResult;
-    }
-  | {
-      readonly kind: 'relayed';
-      readonly relayed: RelayedRows;
-      readonly sentAt: number;
-      readonly receivedAt: number;
-    }
-  /** A peer asks for this VM's copy of the rows. */
-  | {
-      readonly kind: 'relay';
-      readonly reply: Reply<RelayedRows | undefined>;
-    }
-  | {readonly kind: 'clock-skipped'; readonly skippedMs: number}
-  | {readonly kind: 'leave'; readonly reply: Reply<void>};
-
 /** Collaborators of the fleet task. */
 export interface FleetDependencies {
   readonly vm: string;
@@ -98,8 +62,7 @@
 
 /** Owns the copy of the rows that all VMs share, and the proof of its age. */
 export class FleetTask extends Task<FleetMessage> {
-  private rows = new Map<string, TableRow>();
-  private version = 0;
+  private readonly copy = new TableCopy();
   private proof: StoreProof | undefined;
   private storeClock: StoreClock = UNKNOWN_STORE_CLOCK;
   private phase: 'running' | 'leaving' = 'running';
@@ -119,7 +82,7 @@
         void this.watchLoop().catch(err => this.onFailure(err));
         return;
       case 'watched':
-        this.applyWatchedRows(message.answer);
+        this.applyWatchedRows(message.scope, message.answer);
         return;
       case 'transact':
         void this.transact(message.transaction).then(message.reply.answer);
@@ -150,18 +113,13 @@
 
   /** Receives the changes of the rows until this VM leaves the fleet. */
   private async watchLoop(): Promise<void> {
-    const {store} = this.deps;
-    let next: 'all' | 'changes' = 'all';
+    let next: ReadScope = 'all';
     while (this.phase === 'running') {
-      const result =
-        next === 'all'
-          ? await store.readAll()
-          : await store.changes(this.version, WATCH_TIMEOUT_MS);
+      const result = await this.readStore(next);
       if (result.ok) {
         this.recordStoreAnswer();
-        if (next === 'all') this.rows = new Map();
+        this.tell({kind: 'watched', scope: next, answer: result.value});
         next = 'changes';
-        this.tell({kind: 'watched', answer: result.value});
         // The next request names the version that this answer sets.
         await this.settled();
         if (this.mayPause(result.value)) await sleep(REGISTRATION_PAUSE_MS);
@@ -169,7 +127,7 @@
       }
       if (result.err.kind === 'history-lost') {
         this.deps.log.info(
-          {event: 'store.history-lost', version: this.version},
+          {event: 'store.history-lost', version: this.copy.version},
           'the store lost the changes since this version; reading all rows',
         );
         next = 'all';
@@ -182,6 +140,20 @@
     }
   }
 
+  /** Reads the store; fails if the answer is older than this VM's copy. */
+  private async readStore(
+    scope: ReadScope,
+  ): Promise<Result<TableReadResult, StoreReadError>> {
+    const {store} = this.deps;
+    const result =
+      scope === 'all'
+        ? await store.readAll()
+        : await store.changes(this.copy.version, WATCH_TIMEOUT_MS);
+    if (!result.ok || result.value.version >= this.copy.version) return result;
+    const detail = describeStaleAnswer(this.copy, result.value);
+    return fail({kind: 'unavailable', detail});
+  }
+
   /** A VM that has not joined does not pause: it waits for its own row. */
   private mayPause({rows, removed}: TableReadResult): boolean {
     const hasOnlyPuts = rows.length > 0 && removed.length === 0;
@@ -209,12 +181,14 @@
     this.deps.log.warn({event: 'store.fails', detail}, 'store does not answer');
   }
 
-  private applyWatchedRows(answer: TableReadResult): void {
+  private applyWatchedRows(scope: ReadScope, answer: TableReadResult): void {
     this.updateStoreClock(answer);
-    const hasChanges = answer.rows.length > 0 || answer.removed.length > 0;
-    for (const row of answer.rows) this.rows.set(row.key, row);
-    for (const key of answer.removed) this.rows.delete(key);
-    this.version = Math.max(this.version, answer.version);
+    const hasChanges =
+      scope === 'all' || answer.rows.length > 0 || answer.removed.length > 0;
+    const applied =
+      scope === 'all' ? this.copy.replace(answer) : this.copy.update(answer);
+    // A peer's copy arrived first and is newer.
+    if (applied === 'stale') return;
     this.advanceProof(answer.storeMs);
     if (hasChanges || this.view.proof === undefined) this.publish();
     else this.publishProof();
@@ -236,12 +210,12 @@
   }
 
   private currentView(): FleetView {
-    const rows = decodeRows(this.rows.values(), key =>
+    const rows = decodeRows(this.copy.values(), key =>
       this.deps.log.warn({event: 'fleet.unreadable', key}, 'row ignored'),
     );
     return {
       rows,
-      version: this.version,
+      version: this.copy.version,
       proof: this.proof,
       storeClock: this.storeClock,
       joined: this.joinedState(rows),
@@ -258,7 +232,7 @@
     const own = rows.vms.get(vm);
     const isKnown =
       own?.value.incarnation === entry.incarnation &&
-      own.version <= this.version;
+      own.version <= this.copy.version;
     const revoked = rows.shares && isRevoked(rows.shares.value, vm);
     return isKnown && !revoked ? 'joined' : 'not-joined';
   }
@@ -270,7 +244,8 @@
 
   /** Publishes a newer proof without decoding the rows, which are unchanged. */
   private publishProof(): void {
-    const {version, proof, storeClock} = this;
+    const {proof, storeClock} = this;
+    const {version} = this.copy;
     const joined = this.joinedState(this.view.rows);
     this.view = {...this.view, version, proof, storeClock, joined};
     this.deps.onView(this.view);
@@ -304,7 +279,7 @@
 
   private async leave(): Promise<void> {
     const key = vmKey(this.deps.vm);
-    const version = this.rows.get(key)?.version;
+    const version = this.copy.get(key)?.version;
     if (version === undefined) return;
     // Conditional, so that a late removal keeps the row of a newer process.
     await this.transact({
@@ -336,11 +311,9 @@
   ): void {
     this.updateStoreClock(answer);
     for (const [key, value] of puts) {
-      const known = this.rows.get(key);
-      if (known && known.version >= answer.version) continue;
-      this.rows.set(key, {key, value, version: answer.version});
+      this.copy.put({key, value, version: answer.version});
     }
-    for (const key of removals) this.rows.delete(key);
+    for (const key of removals) this.copy.remove(key);
     this.publish();
   }
 
@@ -348,8 +321,8 @@
     const now = this.deps.clock();
     if (!this.proof) return undefined;
     return {
-      rows: [...this.rows.values()],
-      version: this.version,
+      rows: this.copy.values(),
+      version: this.copy.version,
       asOfStoreMs: this.proof.asOfStoreMs,
       earliestStoreMs: earliestStoreTime(this.storeClock, now),
       latestStoreMs: latestStoreTime(this.storeClock, now),
@@ -389,11 +362,9 @@
       ),
       maxOffset: Math.min(this.storeClock.maxOffset, latestStoreMs - sentAt),
     };
-    if (relayed.version > this.version) {
-      this.rows = new Map(relayed.rows.map(row => [row.key, row]));
-      this.version = relayed.version;
+    if (this.copy.replace(relayed) === 'applied') {
+      this.advanceProof(relayed.asOfStoreMs);
     }
-    if (relayed.version >= this.version) this.advanceProof(relayed.asOfStoreMs);
     this.publish();
   }
 }
--- a/packages/gateway/src/peers/gateway_handlers.ts
+++ b/packages/gateway/src/peers/gateway_handlers.ts
@@ -1,5 +1,5 @@
 import type {LogPosition, PrimaryObservation} from '@pistachiorill/core';
-import type {RelayedRows} from '../fleet/fleet_task.js';
+import type {RelayedRows} from '../fleet/fleet_message.js';
 import type {RelayedMembers} from '../operators/directory_task.js';
 import type {StopRequest} from './gateway_router.js';
 
--- a/packages/gateway/src/peers/peer_set.ts
+++ b/packages/gateway/src/peers/peer_set.ts
@@ -10,7 +10,7 @@
 import type {PeerError} from '@pistachiorill/peers';
 import {createTRPCClient} from '@trpc/client';
 import type {TRPCClient} from '@trpc/client';
-import type {RelayedRows} from '../fleet/fleet_task.js';
+import type {RelayedRows} from '../fleet/fleet_message.js';
 import type {RelayedMembers} from '../operators/directory_task.js';
 import type {RelayedConfiguration} from './gateway_handlers.js';
 import type {GatewayRouter, StopRequest} from './gateway_router.js';
--- a/packages/store/src/transactional_store.ts
+++ b/packages/store/src/transactional_store.ts
@@ -32,7 +32,7 @@
   readonly rows: readonly TableRow[];
   /** Keys of removed rows. */
   readonly removed: readonly string[];
-  /** The newest version in the store. */
+  /** The rows are complete as of this version of the store. */
   readonly version: number;
 }
 
