Bound the watch of the configuration by the time to apply a change

What callers would see: a withdrawn key that still works, or a new route that is unknown, on one VM for up to 20.9 s. Reproduced by a test; suspected for what the users saw.

Cause: the store held the request for the next state for 20 s. If its connection had gone silent, only the timeout after 20.9 s showed it, and peers are asked only after a failed call. The users allow 3 s, on grown sites 5 s, and say that open connections may go silent for good. The shared rows are asked for every 3 s.

Change: the time to apply a change is a setting, filled in from the users' bound. The watch takes it less 2.1 s, which leaves 0.9 s to notice an overdue watch and 1.2 s for a read. After an overdue watch the state is read at once; a watch that is rejected sooner is retried after a pause, as before.

Ruled out: TCP keep-alive, of which Node.js sets the first delay only (the system's ten probes follow); one watch by a few VMs for the fleet, which saves calls, but adds a step that can fail.

Calls to the store rise by one in 0.9 s for each VM at a bound of 3 s, and by one in 2.9 s at 5 s, instead of one in 20 s.

--- a/packages/gateway/src/daemon/gateway_daemon.ts
+++ b/packages/gateway/src/daemon/gateway_daemon.ts
@@ -179,6 +179,7 @@
       source: this.ports.source,
       peers,
       clock,
+      applyWithinMs: settings.limits.configuration_apply_ms,
       onConfirmed: () => this.metrics.configurationConfirmed(),
       onApplied: state => this.applyOperatorState(state),
       onStoreFailure,
--- a/packages/gateway/src/daemon/gateway_settings.ts
+++ b/packages/gateway/src/daemon/gateway_settings.ts
@@ -27,6 +27,8 @@
     .object({
       /** How long a graceful stop may take. */
       grace_ms: z.coerce.number().int().positive().default(6_000),
+      /** Within which time a change of the configuration must be in force. */
+      configuration_apply_ms: z.coerce.number().int().positive().default(3_000),
     })
     .prefault({}),
   log: z
--- a/packages/gateway/src/operators/configuration_task.ts
+++ b/packages/gateway/src/operators/configuration_task.ts
@@ -7,8 +7,13 @@
 } from '../ports/configuration_source.js';
 import type {PeerSet} from '../peers/peer_set.js';
 
-/** How long the store holds a request for the next state before it answers. */
-const WATCH_TIMEOUT_MS = 20_000;
+/**
+ * Reserved within the time to apply a change: to notice that a watch is overdue,
+ * as its connection may have gone silent, and to read the state anew.
+ */
+const WATCH_RECOVERY_MS = 2_100;
+/** Limits the calls to the store if changes must apply very soon. */
+const MIN_WATCH_MS = 500;
 const FIRST_RETRY_MS = 200;
 const MAX_RETRY_MS = 1_000;
 const PEER_TIMEOUT_MS = 500;
@@ -30,6 +35,8 @@
   readonly source: ConfigurationSource;
   readonly peers: PeerSet;
   readonly clock: Clock;
+  /** The time within which a change must be in force on this VM. */
+  readonly applyWithinMs: number;
   /** Called when the store confirms which state is the newest. */
   readonly onConfirmed: () => void;
   readonly onApplied: (state: OperatorState) => void;
@@ -76,15 +83,15 @@
    * answer.
    */
   private async follow(): Promise<void> {
-    const {source, clock, log} = this.deps;
+    const {source, clock, applyWithinMs, log} = this.deps;
+    const watchMs = Math.max(MIN_WATCH_MS, applyWithinMs - WATCH_RECOVERY_MS);
     let retryMs = FIRST_RETRY_MS;
     let next: 'read' | 'wait' = 'read';
     let store: 'answering' | 'failing' = 'answering';
     while (this.phase === 'running') {
+      const askedAt = clock();
       const result =
-        next === 'read'
-          ? await source.read()
-          : await source.next(WATCH_TIMEOUT_MS);
+        next === 'read' ? await source.read() : await source.next(watchMs);
       if (result.ok) {
         if (store === 'failing') {
           log.info(
@@ -98,6 +105,7 @@
         this.tell({kind: 'received', state: result.value, from: 'store'});
         continue;
       }
+      const isOverdueWatch = next === 'wait' && clock() - askedAt >= watchMs;
       next = 'read';
       if (result.err.kind === 'history-lost') {
         log.info(
@@ -123,6 +131,8 @@
         );
       }
       store = 'failing';
+      // The store may still answer on another connection.
+      if (isOverdueWatch) continue;
       await this.askPeers();
       await sleep(retryMs);
       retryMs = Math.min(MAX_RETRY_MS, retryMs * 2);
