Relay the shared rows only after this VM has joined

What callers would see: nothing so far; found by looking for the cause of stale reads elsewhere.

Cause: a VM that has just started cannot tell that its first read is from an older state. It took the store's time of that read as the proof of its copy and relayed both; a peer with a copy of the same version would have renewed its primary leases by it.

Change: a VM relays its copy once it has read its own registration, which is newer than the state that it read before.

Evidence: "relays no rows before it has joined" fails without the change (one row is relayed) and passes with it; the tests of fleet and leadership pass.

--- a/packages/gateway/src/fleet/__tests__/fleet_task.test.ts
+++ b/packages/gateway/src/fleet/__tests__/fleet_task.test.ts
@@ -186,4 +186,25 @@
     );
     expect([...new Set(phases)]).toMatchSnapshot();
   });
+
+  // Guards against a lease on older rows at a peer, because a VM that has just
+  // started read an older state and relays it with a new proof.
+  it('relays no rows before it has joined', async () => {
+    const {task, store} = start(fake => {
+      fake.put('leadership/wash', LED);
+      fake.mode = 'reads-only';
+    });
+    const relay = () =>
+      ask<RelayedRows | undefined>(reply => task.tell({kind: 'relay', reply}));
+    await settle();
+    const before = await relay();
+    store.mode = 'answers';
+    store.put('duty', {holder: 'vm-a', fence: 1, acquiredAtStoreMs: 0});
+    await settle(80);
+    const after = await relay();
+    expect({
+      before: before?.rows.length,
+      after: after?.rows.length,
+    }).toMatchSnapshot();
+  });
 });
--- a/packages/gateway/src/fleet/fleet_task.ts
+++ b/packages/gateway/src/fleet/fleet_task.ts
@@ -317,9 +317,13 @@
     this.publish();
   }
 
+  /**
+   * Returns the copy for a peer. A VM that has not joined has none: only its own
+   * registration shows that the rows it read are not from an older state.
+   */
   private relay(): RelayedRows | undefined {
     const now = this.deps.clock();
-    if (!this.proof) return undefined;
+    if (!this.proof || this.view.joined === 'not-joined') return undefined;
     return {
       rows: this.copy.values(),
       version: this.copy.version,
--- a/packages/gateway/src/testing/fake_store.ts
+++ b/packages/gateway/src/testing/fake_store.ts
@@ -11,10 +11,11 @@
 } from '@pistachiorill/store';
 
 /**
- * How a fake store handles requests. `loses-answers` applies transactions but
- * reports an unknown outcome.
+ * How a fake store handles requests. `reads-only` rejects transactions;
+ * `loses-answers` applies them but reports an unknown outcome.
  */
-export type StoreFaultMode = 'answers' | 'down' | 'loses-answers';
+export type StoreFaultMode =
+  'answers' | 'down' | 'reads-only' | 'loses-answers';
 
 /** An in-memory store whose clock is 1,000 s ahead of the caller's. */
 export class FakeStore extends TransactionalStore {
@@ -91,7 +92,9 @@
     puts,
     removals = [],
   }: RowTransaction): Promise<Result<TransactionResult, StoreWriteError>> {
-    if (this.mode === 'down') return fail({kind: 'unavailable', detail: ''});
+    if (this.mode === 'down' || this.mode === 'reads-only') {
+      return fail({kind: 'unavailable', detail: ''});
+    }
     for (const [key, version] of expected) {
       const current = this.rows.get(key)?.version ?? 0;
       if (current !== version) return fail({kind: 'conflict'});
