Pause between reads if the history of the store is lost again

What callers would see: nothing by itself; each VM asked the store about 100 times a second while it kept losing its history, which takes calls from all others.

Cause: FleetTask and ConfigurationTask read all rows at once after each lost history, and a successful read reset the pause before the next attempt. The same held for a store that answers reads and rejects watches, at five reads a second.

Change: only the first read after an answered watch follows at once; later ones wait 0.15 or 0.2 s, doubled up to 1 s. Only an answered watch resets the pause.

Without the change the test of ConfigurationTask does not end (it runs out of memory) and that of FleetTask counts 7 reads in 1 s where registrations alone pace it; with it both pass, with 6 reads of the configuration in 3 s.

--- a/packages/gateway/src/fleet/__tests__/fleet_task.test.ts
+++ b/packages/gateway/src/fleet/__tests__/fleet_task.test.ts
@@ -207,4 +207,17 @@
       after: after?.rows.length,
     }).toMatchSnapshot();
   });
+
+  // Guards against reads without a pause, because the store loses its history
+  // again and again.
+  it('pauses between reads if the history is lost repeatedly', async () => {
+    const {store} = start(fake => fake.put('leadership/wash', LED));
+    await settle(80);
+    const before = store.reads;
+    store.mode = 'history-lost';
+    await settle(1_000);
+    const during = store.reads - before;
+    store.mode = 'answers';
+    expect(during).toBeLessThan(6);
+  });
 });
--- a/packages/gateway/src/fleet/fleet_task.ts
+++ b/packages/gateway/src/fleet/fleet_task.ts
@@ -114,9 +114,12 @@
   /** Receives the changes of the rows until this VM leaves the fleet. */
   private async watchLoop(): Promise<void> {
     let next: ReadScope = 'all';
+    let history: 'kept' | 'lost' = 'kept';
     while (this.phase === 'running') {
       const result = await this.readStore(next);
       if (result.ok) {
+        if (next === 'changes') history = 'kept';
+        if (history === 'kept') this.retryMs = FIRST_RETRY_MS;
         this.recordStoreAnswer();
         this.tell({kind: 'watched', scope: next, answer: result.value});
         next = 'changes';
@@ -131,15 +134,21 @@
           'the store lost the changes since this version; reading all rows',
         );
         next = 'all';
+        if (history === 'lost') await this.pauseBeforeRetry();
+        history = 'lost';
         continue;
       }
       this.recordStoreFailure(result.err.detail);
       await this.askPeers();
-      await sleep(this.retryMs);
-      this.retryMs = Math.min(MAX_RETRY_MS, this.retryMs * 2);
+      await this.pauseBeforeRetry();
     }
   }
 
+  private async pauseBeforeRetry(): Promise<void> {
+    await sleep(this.retryMs);
+    this.retryMs = Math.min(MAX_RETRY_MS, this.retryMs * 2);
+  }
+
   /** Reads the store; fails if the answer is older than this VM's copy. */
   private async readStore(
     scope: ReadScope,
@@ -168,7 +177,6 @@
   }
 
   private recordStoreAnswer(): void {
-    this.retryMs = FIRST_RETRY_MS;
     if (this.storeState === 'answering') return;
     this.storeState = 'answering';
     this.deps.log.info({event: 'store.answers'}, 'store answers again');
--- a/packages/gateway/src/operators/__tests__/configuration_task.test.ts
+++ b/packages/gateway/src/operators/__tests__/configuration_task.test.ts
@@ -17,7 +17,7 @@
 /** A source whose open watches can go silent, as a connection can. */
 class FakeSource extends ConfigurationSource {
   reads = 0;
-  watchMode: 'answered' | 'rejected' = 'answered';
+  watchMode: 'answered' | 'rejected' | 'history-lost' = 'answered';
   private revision = 1;
   private silencedWatches = 0;
   private watches = 0;
@@ -42,6 +42,7 @@
   override async next(
     waitMs: number,
   ): Promise<Result<OperatorState, StoreReadError>> {
+    if (this.watchMode === 'history-lost') return fail({kind: 'history-lost'});
     if (this.watchMode === 'rejected') {
       return fail({kind: 'unavailable', detail: 'too many requests'});
     }
@@ -108,14 +109,17 @@
     expect(applied).toMatchSnapshot();
   });
 
-  // Guards against calls without a pause, because the store answers reads but
-  // rejects every watch.
-  it('pauses between reads if its watches are rejected', async () => {
-    const {source, applied} = start();
-    source.watchMode = 'rejected';
-    await vi.advanceTimersByTimeAsync(2_000);
-    source.write();
-    await vi.advanceTimersByTimeAsync(1_000);
-    expect({reads: source.reads, applied}).toMatchSnapshot();
-  });
+  // Guards against calls without a pause, because the store answers reads but no
+  // watch.
+  it.each(['rejected', 'history-lost'] as const)(
+    'pauses between reads if its watches are %s',
+    async mode => {
+      const {source, applied} = start();
+      source.watchMode = mode;
+      await vi.advanceTimersByTimeAsync(2_000);
+      source.write();
+      await vi.advanceTimersByTimeAsync(1_000);
+      expect({reads: source.reads, applied}).toMatchSnapshot();
+    },
+  );
 });
--- a/packages/gateway/src/operators/configuration_task.ts
+++ b/packages/gateway/src/operators/configuration_task.ts
@@ -52,6 +52,7 @@
 export class ConfigurationTask extends Task<ConfigurationMessage> {
   private current: OperatorState | undefined;
   private phase: 'running' | 'stopped' = 'running';
+  private storeState: 'answering' | 'failing' = 'answering';
   /** When the store last confirmed which state is the newest. */
   private confirmedAt: number | undefined;
 
@@ -83,62 +84,78 @@
    * answer.
    */
   private async follow(): Promise<void> {
-    const {source, clock, applyWithinMs, log} = this.deps;
+    const {source, clock, applyWithinMs} = this.deps;
     const watchMs = Math.max(MIN_WATCH_MS, applyWithinMs - WATCH_RECOVERY_MS);
     let retryMs = FIRST_RETRY_MS;
-    let next: 'read' | 'wait' = 'read';
-    let store: 'answering' | 'failing' = 'answering';
+    let next: 'read' | 'watch' = 'read';
+    let history: 'kept' | 'lost' = 'kept';
     while (this.phase === 'running') {
+      const asked = next;
       const askedAt = clock();
       const result =
-        next === 'read' ? await source.read() : await source.next(watchMs);
+        asked === 'read' ? await source.read() : await source.next(watchMs);
       if (result.ok) {
-        if (store === 'failing') {
-          log.info(
-            {event: 'configuration.store-answers'},
-            'the configuration store answers again',
-          );
-        }
-        store = 'answering';
-        retryMs = FIRST_RETRY_MS;
-        next = 'wait';
+        this.recordStoreAnswer();
         this.tell({kind: 'received', state: result.value, from: 'store'});
+        next = 'watch';
+        // A read alone does not show that watches are answered again.
+        if (asked === 'read') continue;
+        retryMs = FIRST_RETRY_MS;
+        history = 'kept';
         continue;
       }
-      const isOverdueWatch = next === 'wait' && clock() - askedAt >= watchMs;
       next = 'read';
       if (result.err.kind === 'history-lost') {
-        log.info(
-          {
-            event: 'configuration.history-lost',
-            revision: this.current?.revision,
-            unconfirmedMs: this.unconfirmedMs(clock()),
-          },
-          'the store lost the changes of the configuration; reading it again',
-        );
-        continue;
-      }
-      this.deps.onStoreFailure('configuration');
-      if (store === 'answering') {
-        const {detail} = result.err;
-        log.warn(
-          {
-            event: 'configuration.store-fails',
-            detail,
-            unconfirmedMs: this.unconfirmedMs(clock()),
-          },
-          'the configuration store does not answer',
-        );
+        this.recordLostHistory(clock());
+        const isFirstLoss = history === 'kept';
+        history = 'lost';
+        if (isFirstLoss) continue;
+      } else {
+        this.recordStoreFailure(result.err.detail, clock());
+        // The store may still answer on another connection.
+        const isOverdue = clock() - askedAt >= watchMs;
+        if (asked === 'watch' && isOverdue) continue;
+        await this.askPeers();
       }
-      store = 'failing';
-      // The store may still answer on another connection.
-      if (isOverdueWatch) continue;
-      await this.askPeers();
       await sleep(retryMs);
       retryMs = Math.min(MAX_RETRY_MS, retryMs * 2);
     }
   }
 
+  private recordStoreAnswer(): void {
+    if (this.storeState === 'answering') return;
+    this.storeState = 'answering';
+    this.deps.log.info(
+      {event: 'configuration.store-answers'},
+      'the configuration store answers again',
+    );
+  }
+
+  private recordLostHistory(now: number): void {
+    this.deps.log.info(
+      {
+        event: 'configuration.history-lost',
+        revision: this.current?.revision,
+        unconfirmedMs: this.unconfirmedMs(now),
+      },
+      'the store lost the changes of the configuration; reading it again',
+    );
+  }
+
+  private recordStoreFailure(detail: string, now: number): void {
+    this.deps.onStoreFailure('configuration');
+    if (this.storeState === 'failing') return;
+    this.storeState = 'failing';
+    this.deps.log.warn(
+      {
+        event: 'configuration.store-fails',
+        detail,
+        unconfirmedMs: this.unconfirmedMs(now),
+      },
+      'the configuration store does not answer',
+    );
+  }
+
   /** Asks peers for a state that is newer than the current one. */
   private async askPeers(): Promise<void> {
     const {peers, source} = this.deps;
--- a/packages/gateway/src/testing/fake_store.ts
+++ b/packages/gateway/src/testing/fake_store.ts
@@ -12,15 +12,18 @@
 
 /**
  * How a fake store handles requests. `reads-only` rejects transactions;
- * `loses-answers` applies them but reports an unknown outcome.
+ * `history-lost` has no changes to report; `loses-answers` applies transactions
+ * but reports an unknown outcome.
  */
 export type StoreFaultMode =
-  'answers' | 'down' | 'reads-only' | 'loses-answers';
+  'answers' | 'down' | 'reads-only' | 'history-lost' | 'loses-answers';
 
 /** An in-memory store whose clock is 1,000 s ahead of the caller's. */
 export class FakeStore extends TransactionalStore {
   readonly rows = new Map<string, TableRow>();
   version = 1;
+  /** The number of `readAll` requests that were answered. */
+  reads = 0;
   /** The number of `changes` requests that returned changes. */
   changesDelivered = 0;
   mode: StoreFaultMode = 'answers';
@@ -56,6 +59,7 @@
 
   override async readAll(): Promise<Result<TableReadResult, StoreReadError>> {
     if (this.mode === 'down') return fail({kind: 'unavailable', detail: ''});
+    this.reads++;
     const stale = this.staleReads.shift();
     return ok(stale ? {...stale, ...this.timing()} : this.copy());
   }
@@ -74,6 +78,7 @@
         });
       });
     }
+    if (this.mode === 'history-lost') return fail({kind: 'history-lost'});
     if (this.historyState === 'lost') {
       this.historyState = 'kept';
       return fail({kind: 'history-lost'});
