Check withdrawn keys in the soak once VMs are undisturbed again

Cause that the soak did not see: a withdrawn key counted only if no fault disturbed any VM between its withdrawal and the request. A watch that a fault had silenced was over before such a time came, so that the fault of the watch could not be found. The rule of the users binds every VM that nothing disturbed for 4 s.

Change: a key is also checked from 4 s without a disturbance on, and a run goes on long enough after its last fault. Two faults are added: connections to the store that go silent for good, and a store that loses its history and answers reads from an older state; both withdraw a key. They are drawn from a stream of their own, so that a seed keeps the faults it had. Six seeds that failed become regression cases.

--- a/soak/src/__tests__/soak.test.ts
+++ b/soak/src/__tests__/soak.test.ts
@@ -10,7 +10,12 @@
 
 /** Seeds that once found a violation, each with its cause. */
 const REGRESSION_SEEDS: ReadonlyArray<readonly [number, string]> = [
-  [10, 'a stand-in showed fewer commits after a promotion than before'],
+  [1, 'the watch of the configuration was silent, and a withdrawn key served'],
+  [2, 'as seed 1'],
+  [4, 'as seed 1'],
+  [8, 'as seed 1'],
+  [10, 'a stand-in showed fewer commits after a promotion; later as seed 1'],
+  [12, 'as seed 1'],
 ];
 
 describe('soak', () => {
--- a/soak/src/checks/__tests__/check_history.test.ts
+++ b/soak/src/checks/__tests__/check_history.test.ts
@@ -254,6 +254,16 @@
       };
     },
   ],
+  [
+    'a withdrawn key at a VM that has been undisturbed again',
+    history => {
+      changeOperation(history, 2, {startedAt: 9_000, endedAt: 9_010});
+      return {
+        withdrawnAt: new Map([['key-1', 500]]),
+        isUndisturbed: fromMs => fromMs >= 4_500,
+      };
+    },
+  ],
   [
     'no successful operation at the end',
     history => changeOperation(history, 2, {outcome: 'unknown'}),
--- a/soak/src/checks/check_history.ts
+++ b/soak/src/checks/check_history.ts
@@ -1,4 +1,5 @@
 import {
+  CONTACT_MS,
   MAX_WITHDRAWAL_DELAY_MS,
   MAX_STALENESS_MS,
   logContains,
@@ -176,8 +177,11 @@
   const withdrawn = withdrawnAt.get(key) ?? Infinity;
   if (outcome !== 'success') return [];
   if (startedAt < withdrawn + MAX_WITHDRAWAL_DELAY_MS) return [];
-  // A VM that cannot receive the update may serve the key for longer.
-  if (!isCalm(withdrawn, startedAt)) return [];
+  // A VM that cannot receive the update may serve the key for longer, but not
+  // once it has been undisturbed for a while.
+  const mayBeLate =
+    !isCalm(withdrawn, startedAt) && !isCalm(startedAt - CONTACT_MS, startedAt);
+  if (mayBeLate) return [];
   const lateMs = Math.round(startedAt - withdrawn);
   return [violation('withdrawn-key-served', `${key} after ${lateMs} ms`)];
 }
--- a/soak/src/faults/fault_injector.ts
+++ b/soak/src/faults/fault_injector.ts
@@ -13,6 +13,8 @@
 /** How long a draining member still serves after its announcement. */
 const DRAIN_MS = 7_000;
 const CONFIGURATION_GAP_MS = 150;
+/** How old the state is that a store without history starts to answer from. */
+const STALE_READ_AGE_MS = 1_000;
 
 /** Ends a fault. */
 type Undo = () => void | Promise<void>;
@@ -29,6 +31,8 @@
   'store-loses-answers',
   'store-cut-from-vm',
   'connections-reset',
+  'store-connections-silent',
+  'store-behind',
 ]);
 
 /** Injects faults into running processes and stand-ins from the outside. */
@@ -100,6 +104,12 @@
         return this.setStoreFaultMode('loses-answers');
       case 'store-cut-from-vm':
         return setProxyMode(vm.paths.storeProxy, 'silent');
+      case 'store-connections-silent':
+        for (const {paths} of this.vms) paths.storeProxy.silence();
+        this.standins.operators.withdraw(pick(WORKSPACES, target));
+        return () => undefined;
+      case 'store-behind':
+        return this.loseHistory(target);
       case 'orders-lose-answers':
         this.standins.orders.faultMode = 'loses-answers';
         return () => {
@@ -142,6 +152,20 @@
     };
   }
 
+  /**
+   * Loses the history of the store after a key was withdrawn, and answers reads
+   * from the state before.
+   */
+  private async loseHistory(target: number): Promise<Undo> {
+    const stale = this.standins.table.copy();
+    this.standins.operators.withdraw(pick(WORKSPACES, target));
+    await new Promise(resolve => setTimeout(resolve, STALE_READ_AGE_MS));
+    for (const {paths} of this.vms) paths.store.staleTable = stale;
+    return () => {
+      for (const {paths} of this.vms) paths.store.staleTable = undefined;
+    };
+  }
+
   private takeDown(name: string, how: 'dark' | 'crashed'): Undo {
     this.standins.failMember(name, how);
     return () => this.standins.recoverMember(name);
--- a/soak/src/faults/fault_plan.ts
+++ b/soak/src/faults/fault_plan.ts
@@ -1,7 +1,7 @@
 import {Random} from '@pistachiorill/core';
 
-/** The kinds of faults that a soak run injects from outside the processes. */
-export const FAULT_KINDS = [
+/** The kinds of faults in the first plan of a run. */
+const FIRST_KINDS = [
   'vm-killed',
   'vm-paused',
   'vm-stopped',
@@ -23,6 +23,11 @@
   'key-withdrawn',
   'configurations',
 ] as const;
+/** Kinds that were added later; see `planFaults`. */
+const LATER_KINDS = ['store-connections-silent', 'store-behind'] as const;
+
+/** The kinds of faults that a soak run injects from outside the processes. */
+export const FAULT_KINDS = [...FIRST_KINDS, ...LATER_KINDS] as const;
 
 /** A kind of fault, which `FaultInjector` implements. */
 export type FaultKind = (typeof FAULT_KINDS)[number];
@@ -45,7 +50,7 @@
   'vm-paused': 2,
   'member-cut-from-vm': 2,
 };
-const WEIGHTED_KINDS = FAULT_KINDS.flatMap(kind =>
+const WEIGHTED_FIRST_KINDS: readonly FaultKind[] = FIRST_KINDS.flatMap(kind =>
   Array.from({length: WEIGHTS[kind] ?? 1}, () => kind),
 );
 
@@ -53,20 +58,43 @@
 const FAULT_FREE_START_MS = 1_500;
 /** No fault starts in the last part of a run, which leaves time to recover. */
 const FAULT_FREE_END_MS = 4_000;
-const MEAN_GAP_MS = 900;
+const FIRST_KINDS_GAP_MS = 900;
+const LATER_KINDS_GAP_MS = 3_000;
+/** Separates the second stream of random numbers of a seed from the first. */
+const LATER_KINDS_SEED = 1_000_003;
 
-/** Draws the faults of a run from its seed; consecutive faults can overlap. */
+/**
+ * Draws the faults of a run from its seed; consecutive faults can overlap. Later
+ * kinds have a stream of their own, so that a seed keeps the faults it had.
+ */
 export function planFaults(seed: number, lengthMs: number): readonly Fault[] {
-  const random = new Random(seed);
+  const later = new Random(seed + LATER_KINDS_SEED);
+  return [
+    ...draw(
+      new Random(seed),
+      WEIGHTED_FIRST_KINDS,
+      FIRST_KINDS_GAP_MS,
+      lengthMs,
+    ),
+    ...draw(later, LATER_KINDS, LATER_KINDS_GAP_MS, lengthMs),
+  ].sort((a, b) => a.atMs - b.atMs);
+}
+
+function draw(
+  random: Random,
+  kinds: readonly FaultKind[],
+  meanGapMs: number,
+  lengthMs: number,
+): readonly Fault[] {
   const faults: Fault[] = [];
   let atMs = FAULT_FREE_START_MS;
   while (atMs < lengthMs - FAULT_FREE_END_MS) {
-    const kind = WEIGHTED_KINDS[random.integer(0, WEIGHTED_KINDS.length - 1)];
+    const kind = kinds[random.integer(0, kinds.length - 1)];
     const forMs = random.integer(300, 4_000);
     const target = random.integer(0, 1_000_000);
     if (kind) faults.push({kind, atMs, forMs, target});
     // The gap counts from the start of a fault, so that faults often overlap.
-    atMs += random.integer(0, 2 * MEAN_GAP_MS);
+    atMs += random.integer(0, 2 * meanGapMs);
   }
   return faults;
 }
--- a/soak/src/run_soak.ts
+++ b/soak/src/run_soak.ts
@@ -5,6 +5,7 @@
 import {Random} from '@pistachiorill/core';
 import {findFreePorts} from '@pistachiorill/launcher';
 import {
+  CONTACT_MS,
   LOOPBACK_HOST,
   SimulatedPlatform,
   READY_PATH,
@@ -74,7 +75,8 @@
     }
     await sleep(Math.max(0, startedAt + lengthMs - clock()));
     await injector.waitForAll();
-    await sleep(2 * RECOVERY_MS);
+    // Then all VMs are undisturbed, and the checks that need this apply.
+    await sleep(CONTACT_MS + RECOVERY_MS);
     for (const {caller} of callers) caller.stop();
     await Promise.all(callers.map(item => item.done));
   } finally {
