Wait for all owners of the group in the forwarding test

A new owner waits until earlier ones have applied the ledger, so that the others could become owners up to 0.8 s after the nearest one was killed, and the forwarder was told "not run: no-member".

Change: the setup waits up to 10 s until every owner reports the group as its own at /status. What the test does and expects is unchanged.

--- a/packages/launcher/src/__tests__/forwarding.test.ts
+++ b/packages/launcher/src/__tests__/forwarding.test.ts
@@ -1,5 +1,6 @@
 import {fileURLToPath} from 'node:url';
 import {groupOwners} from '@pistachiorill/core';
+import type {VmStatus} from '@pistachiorill/store';
 import {createConnection} from 'mysql2/promise';
 import {afterAll, beforeAll, describe, expect, it, vi} from 'vitest';
 import {Fleet} from '../fleet.js';
@@ -31,6 +32,7 @@
     owner = fleet.vms.find(
       vm => owners.includes(vm.name) && vm.dataCentre === forwarder.dataCentre,
     ) as RunningVm;
+    await waitForOwners(fleet.vms.filter(vm => owners.includes(vm.name)));
     await waitUntilServed();
   });
   afterAll(() => fleet.stop());
@@ -46,6 +48,27 @@
     });
   }
 
+  /**
+   * Waits until all owners own the group. A new owner waits until earlier ones
+   * have applied the ledger, so that one may start to serve before the others.
+   */
+  async function waitForOwners(owners: readonly RunningVm[]): Promise<void> {
+    await vi.waitFor(
+      async () => {
+        const statuses = await Promise.all(owners.map(statusOf));
+        for (const {groups} of statuses) {
+          expect(groups.map(group => group.database)).toContain(DATABASE);
+        }
+      },
+      {timeout: 10_000, interval: 50},
+    );
+  }
+
+  async function statusOf(vm: RunningVm): Promise<VmStatus> {
+    const res = await fetch(`http://127.0.0.1:${vm.httpPort}/status`);
+    return (await res.json()) as VmStatus;
+  }
+
   /** Waits until the forwarder can reach an owner. */
   async function waitUntilServed(): Promise<void> {
     const connection = await connect(forwarder);
