Report a request's timeout as one, not as a hang-up of the other side

Cause: the timeout resets the socket before it destroys the request with its own error; the request then reports the reset as a hang-up.

Change: the error of the timeout is kept and reported.

Evidence: "reports a timeout" fails at with "no-answer: socket hang up" and passes with "no-answer: no answer within 100 ms"; the tests of the package pass.

--- /dev/null
+++ b/packages/peers/src/__tests__/http_request.test.ts
@@ -0,0 +1,63 @@
+import {Agent, createServer} from 'node:http';
+import type {AddressInfo, Socket} from 'node:net';
+import {afterEach, describe, expect, it} from 'vitest';
+import {TransportError, sendHttpRequest} from '../http_request.js';
+
+const TIMEOUT_MS = 100;
+
+describe('sendHttpRequest', () => {
+  const cleanups: Array<() => void> = [];
+  afterEach(() => {
+    for (const close of cleanups.splice(0)) close();
+  });
+
+  /** A server whose open connections can go silent while new ones work. */
+  async function startServer() {
+    const open = new Set<Socket>();
+    const silent = new Set<Socket>();
+    const server = createServer((req, res) => {
+      if (silent.has(req.socket)) return;
+      open.add(req.socket);
+      res.end('answered');
+    });
+    await new Promise<void>(r => server.listen(0, '127.0.0.1', r));
+    const agent = new Agent({keepAlive: true, scheduling: 'lifo'});
+    cleanups.push(() => {
+      agent.destroy();
+      server.closeAllConnections();
+      server.close();
+    });
+    const {port} = server.address() as AddressInfo;
+    const send = async (): Promise<string> => {
+      try {
+        const {body} = await sendHttpRequest({
+          agent,
+          host: '127.0.0.1',
+          port,
+          path: '/',
+          body: '',
+          timeoutMs: TIMEOUT_MS,
+          signal: undefined,
+        });
+        return body;
+      } catch (err) {
+        if (err instanceof TransportError) return `${err.kind}: ${err.message}`;
+        throw err;
+      }
+    };
+    return {
+      send,
+      silenceOpenConnections: () => {
+        for (const socket of open) silent.add(socket);
+      },
+    };
+  }
+
+  // Guards against a timeout that is reported as if the server had hung up.
+  it('reports a timeout', async () => {
+    const {send, silenceOpenConnections} = await startServer();
+    await send();
+    silenceOpenConnections();
+    expect(await send()).toMatchSnapshot();
+  });
+});
--- a/packages/peers/src/http_request.ts
+++ b/packages/peers/src/http_request.ts
@@ -46,6 +46,7 @@
 export function sendHttpRequest(call: HttpRequest): Promise<HttpResponse> {
   return new Promise((resolve, reject) => {
     let connection: 'opening' | 'open' = 'opening';
+    let timeout: Error | undefined;
     const req = request({
       agent: call.agent,
       host: call.host,
@@ -62,10 +63,11 @@
       req.destroy(new Error('aborted'));
     };
     const timer = setTimeout(() => {
+      timeout = new Error(`no answer within ${call.timeoutMs} ms`);
       // Resets the connection, which discards request data that has not been
       // delivered yet.
       req.socket?.resetAndDestroy();
-      req.destroy(new Error(`no answer within ${call.timeoutMs} ms`));
+      req.destroy(timeout);
     }, call.timeoutMs);
     const finish = (): void => {
       clearTimeout(timer);
@@ -74,7 +76,8 @@
     const failWith = (err: Error): void => {
       finish();
       const kind = connection === 'opening' ? 'unreachable' : 'no-answer';
-      reject(new TransportError(kind, err.message));
+      // A reset by this side is reported as if the other side had hung up.
+      reject(new TransportError(kind, (timeout ?? err).message));
     };
     if (call.signal?.aborted) abort();
     call.signal?.addEventListener('abort', abort);
