Close idle connections after any request that timed out

What callers would see: refusals within the rate and late primary changes, for as long as requests to peers go to one silent connection after the other, each with a timeout of 0.3 to 1.2 s.

Cause: connections between VMs go silent together, as those to the store do, and the pool of a peer hands out the next silent one after each timeout.

Change: the request itself closes the idle connections of its agent when it times out, which covers the store, the peers of the gateway and those of the MySQL daemon.

--- a/packages/peers/src/__tests__/http_request.test.ts
+++ b/packages/peers/src/__tests__/http_request.test.ts
@@ -60,4 +60,13 @@
     silenceOpenConnections();
     expect(await send()).toMatchSnapshot();
   });
+
+  // Guards against a timeout for each of several connections that have gone
+  // silent together.
+  it('opens a new connection after a timeout', async () => {
+    const {send, silenceOpenConnections} = await startServer();
+    await Promise.all([send(), send(), send()]);
+    silenceOpenConnections();
+    expect([await send(), await send()]).toMatchSnapshot();
+  });
 });
--- a/packages/peers/src/http_request.ts
+++ b/packages/peers/src/http_request.ts
@@ -18,6 +18,7 @@
 export interface HttpRequest {
   readonly method?: 'GET' | 'POST';
   readonly headers?: Readonly<Record<string, string>>;
+  /** For a single server, as a timeout closes all its idle connections. */
   readonly agent: Agent;
   readonly host: string;
   readonly port: number;
@@ -68,6 +69,7 @@
       // delivered yet.
       req.socket?.resetAndDestroy();
       req.destroy(timeout);
+      closeIdleConnections(call.agent);
     }, call.timeoutMs);
     const finish = (): void => {
       clearTimeout(timer);
@@ -106,3 +108,13 @@
     req.end(call.body);
   });
 }
+
+/**
+ * Closes the idle connections of an agent. Connections often go silent together,
+ * and each would cost the next request a timeout.
+ */
+function closeIdleConnections(agent: Agent): void {
+  for (const sockets of Object.values(agent.freeSockets)) {
+    for (const socket of sockets ?? []) socket.destroy();
+  }
+}
