Restart a task's watch of the store after an unexpected error

What callers would see: a VM that applies no further change of the configuration, or keeps no proof of its shared rows, until it is restarted. Found by looking for waits without a limit; not seen in a log.

Cause: ConfigurationTask and FleetTask started their loop once; an error that it threw was reported and ended it for good.

Change: Task.keepRunning runs such a loop again 1 s after it threw, and both use it. Errors are still reported as task.failed.

Evidence: "receives changes after an unexpected error" applies revision 1 only without the change, and revisions 1 and 2 with it; the tests of tasks and gateway pass.

--- a/packages/gateway/src/fleet/fleet_task.ts
+++ b/packages/gateway/src/fleet/fleet_task.ts
@@ -79,7 +79,7 @@
   protected override handle(message: FleetMessage): void {
     switch (message.kind) {
       case 'start':
-        void this.watchLoop().catch(err => this.onFailure(err));
+        void this.keepRunning(() => this.watchLoop());
         return;
       case 'watched':
         this.applyWatchedRows(message.scope, message.answer);
--- a/packages/gateway/src/operators/__tests__/configuration_task.test.ts
+++ b/packages/gateway/src/operators/__tests__/configuration_task.test.ts
@@ -17,7 +17,7 @@
 /** A source whose open watches can go silent, as a connection can. */
 class FakeSource extends ConfigurationSource {
   reads = 0;
-  watchMode: 'answered' | 'rejected' | 'history-lost' = 'answered';
+  watchMode: 'answered' | 'rejected' | 'history-lost' | 'throws' = 'answered';
   private revision = 1;
   private silencedWatches = 0;
   private watches = 0;
@@ -46,6 +46,10 @@
     if (this.watchMode === 'rejected') {
       return fail({kind: 'unavailable', detail: 'too many requests'});
     }
+    if (this.watchMode === 'throws') {
+      this.watchMode = 'answered';
+      throw new Error('unexpected');
+    }
     const watch = ++this.watches;
     const until = performance.now() + waitMs;
     const changed = new Promise<void>(resolve => this.waiting.push(resolve));
@@ -77,7 +81,11 @@
   vi.useRealTimers();
 });
 
-function start() {
+function start(
+  onFailed: (err: unknown) => void = err => {
+    throw err;
+  },
+) {
   const source = new FakeSource();
   const applied: number[] = [];
   const task = new ConfigurationTask({
@@ -89,9 +97,7 @@
     onApplied: ({revision}) => applied.push(revision),
     onStoreFailure: () => undefined,
     log: silentLogger(),
-    onFailed: err => {
-      throw err;
-    },
+    onFailed,
   });
   task.tell({kind: 'start'});
   return {source, applied};
@@ -122,4 +128,16 @@
       expect({reads: source.reads, applied}).toMatchSnapshot();
     },
   );
+
+  // Guards against a VM that receives no further change, because an error ended
+  // its watch for good.
+  it('receives changes after an unexpected error', async () => {
+    const failures: string[] = [];
+    const {source, applied} = start(err => failures.push(String(err)));
+    source.watchMode = 'throws';
+    await vi.advanceTimersByTimeAsync(100);
+    source.write();
+    await vi.advanceTimersByTimeAsync(APPLY_WITHIN_MS);
+    expect({failures, applied}).toMatchSnapshot();
+  });
 });
--- a/packages/gateway/src/operators/configuration_task.ts
+++ b/packages/gateway/src/operators/configuration_task.ts
@@ -63,7 +63,7 @@
   protected override handle(message: ConfigurationMessage): void {
     switch (message.kind) {
       case 'start':
-        void this.follow().catch(err => this.onFailure(err));
+        void this.keepRunning(() => this.follow());
         return;
       case 'received':
         this.applyIfNewer(message.state, message.from);
--- a/packages/tasks/src/task.ts
+++ b/packages/tasks/src/task.ts
@@ -1,4 +1,8 @@
 import PQueue from 'p-queue';
+import {sleep} from './sleep.js';
+
+/** The pause before a loop that failed is run again. */
+const RESTART_PAUSE_MS = 1_000;
 
 /**
  * A unit of concurrency that owns its state and sockets. Messages are handled
@@ -35,9 +39,29 @@
    */
   protected abstract handle(message: M): void | Promise<void>;
 
-  /** Called when `handle` throws; the task continues with the next message. */
+  /**
+   * Called when `handle` throws, after which the task continues with the next
+   * message, or when a loop throws that `keepRunning` runs.
+   */
   protected abstract onFailure(err: unknown): void;
 
+  /**
+   * Runs a loop that lasts as long as the task; again after a pause whenever it
+   * throws.
+   */
+  protected async keepRunning(loop: () => Promise<void>): Promise<void> {
+    let outcome: 'failed' | 'ended' = 'failed';
+    while (outcome === 'failed') {
+      try {
+        await loop();
+        outcome = 'ended';
+      } catch (err) {
+        this.onFailure(err);
+        await sleep(RESTART_PAUSE_MS);
+      }
+    }
+  }
+
   private async handleSafely(message: M): Promise<void> {
     try {
       await this.handle(message);
