Ask for an answer at once after a failed watch of the shared rows

What callers would see: writes refused for want of a primary lease, up to 3 s longer than the store or its connections are away.

Cause: after a failed request FleetTask watched again, and the store holds a watch for 3 s if nothing changes. The proof of the rows aged by that time after the store was back: 4 s old at most before a failure, it lapses after 10 s.

Change: while the store counts as failing, the answer is not held.

Evidence: "renews its proof as soon as the store answers again" gives "old" without the change and "renewed" with it.

--- a/packages/gateway/src/fleet/__tests__/fleet_task.test.ts
+++ b/packages/gateway/src/fleet/__tests__/fleet_task.test.ts
@@ -116,6 +116,21 @@
     });
   });
 
+  // Guards against a primary lease that lapses after the store is back, because
+  // the first answer is held for the time of a watch.
+  it('renews its proof as soon as the store answers again', async () => {
+    const {store, views} = start();
+    await settle(80);
+    store.maxHoldMs = 3_000;
+    store.mode = 'down';
+    await settle(300);
+    store.mode = 'answers';
+    const {storeMs: answersAt} = store.copy();
+    await settle(700);
+    const asOf = views.at(-1)?.proof?.asOfStoreMs ?? -Infinity;
+    expect(asOf >= answersAt ? 'renewed' : 'old').toMatchSnapshot();
+  });
+
   // Guards against a VM that was declared lost and still spends its share.
   it('takes back a revoked share before it spends it', async () => {
     const {store, views, clock} = start(fake =>
--- a/packages/gateway/src/fleet/fleet_task.ts
+++ b/packages/gateway/src/fleet/fleet_task.ts
@@ -149,15 +149,19 @@
     this.retryMs = Math.min(MAX_RETRY_MS, this.retryMs * 2);
   }
 
-  /** Reads the store; fails if the answer is older than this VM's copy. */
+  /**
+   * Reads the store; fails if the answer is older than this VM's copy. After a
+   * failure the answer is not held, as the proof has aged meanwhile.
+   */
   private async readStore(
     scope: ReadScope,
   ): Promise<Result<TableReadResult, StoreReadError>> {
     const {store} = this.deps;
+    const waitMs = this.storeState === 'failing' ? 0 : WATCH_TIMEOUT_MS;
     const result =
       scope === 'all'
         ? await store.readAll()
-        : await store.changes(this.copy.version, WATCH_TIMEOUT_MS);
+        : await store.changes(this.copy.version, waitMs);
     if (!result.ok || result.value.version >= this.copy.version) return result;
     const detail = describeStaleAnswer(this.copy, result.value);
     return fail({kind: 'unavailable', detail});
--- a/packages/gateway/src/testing/fake_store.ts
+++ b/packages/gateway/src/testing/fake_store.ts
@@ -27,6 +27,8 @@
   /** The number of `changes` requests that returned changes. */
   changesDelivered = 0;
   mode: StoreFaultMode = 'answers';
+  /** The longest time for which a request for changes is held. */
+  maxHoldMs = 50;
   /** Answers of the next calls of `readAll`, which may be older than the rows. */
   readonly staleReads: TableReadResult[] = [];
   private historyState: 'kept' | 'lost' = 'kept';
@@ -71,7 +73,7 @@
     if (this.mode === 'down') return fail({kind: 'unavailable', detail: ''});
     if (this.version <= after) {
       await new Promise<void>(resolve => {
-        const timer = setTimeout(resolve, Math.min(waitMs, 50));
+        const timer = setTimeout(resolve, Math.min(waitMs, this.maxHoldMs));
         this.pendingPolls.push(() => {
           clearTimeout(timer);
           resolve();
