Split the fake fleet of the failover tests

The scenarios and faults move to failover_scenario.ts and the fake VM to fake_vm.ts; nothing else changes.

--- a/packages/core/src/failover/__fixtures__/fake_fleet.ts
+++ b/packages/core/src/failover/__fixtures__/fake_fleet.ts
@@ -1,11 +1,10 @@
-import {Random} from '../../common/random.js';
-import type {GroupView, MemberView} from '../../routing/group_view.js';
 import type {AttemptAction, AttemptEvent, ClaimRow} from '../attempt.js';
 import {decideFailover} from '../decide_failover.js';
 import type {FailoverReport} from '../failover_report.js';
-import {initialFailoverState} from '../failover_state.js';
-import type {FailoverMessage, FailoverState} from '../failover_state.js';
+import type {FailoverMessage} from '../failover_state.js';
 import {FakeMember} from './fake_member.js';
+import {FakeVm} from './fake_vm.js';
+import type {Fault, RunResult, Scenario} from './failover_scenario.js';
 
 const TICK_MS = 5;
 const POLL_EVERY_MS = 100;
@@ -17,109 +16,8 @@
 const PRIMARY_BACK_AT_MS = 9_000;
 const END_AT_MS = 20_000;
 const FAULT_DURATION_MS = 4_000;
-const SWITCHOVER_GRACE_MS = 8_000;
 const CONFIGURED_LATE_AT_MS = 7_000;
 
-/** The faults of the matrix; see `FakeFleet.startFault`. */
-export const FAULT_KINDS = [
-  'message-lost',
-  'answer-lost',
-  'member-unreachable',
-  'owner-paused',
-  'owner-killed',
-  'store-down',
-  'store-answer-lost',
-  'second-owner',
-] as const;
-/** The steps of an attempt at which a fault can start. */
-export const STEPS = [
-  'read-row',
-  'claim',
-  'fence',
-  'promote',
-  'follow',
-  'publish',
-] as const;
-
-/** A fault that starts when a VM first takes the given step. */
-export interface Fault {
-  readonly kind: (typeof FAULT_KINDS)[number];
-  readonly step: (typeof STEPS)[number];
-}
-
-/** The initial state and the course of a run, apart from its faults. */
-export type Scenario =
-  /** The primary is unreachable from 1 s to 9 s. */
-  | 'primary-lost'
-  /** One data centre cannot reach the primary. */
-  | 'one-partition'
-  /** Two of three data centres cannot reach the primary. */
-  | 'two-partitions'
-  /** The only data centre in service cannot reach the primary. */
-  | 'one-data-centre'
-  /** No member was ever promoted, and the VMs receive no reports. */
-  | 'new-group'
-  /** The configuration makes the primary leave at 1 s. */
-  | 'planned-move'
-  /** One VM has a transaction open until 5 s when the primary has to leave. */
-  | 'busy-planned-move'
-  /** The VM with the transaction receives the configuration only at 7 s. */
-  | 'late-planned-move'
-  /** As `late-planned-move`, but the transaction never ends. */
-  | 'stuck-planned-move'
-  /** Only the primary that has to leave holds the whole log until 5 s. */
-  | 'lagging-planned-move';
-
-/** The outcome of a run. */
-export interface RunResult {
-  /** The violated guarantees, empty if all hold. */
-  readonly violations: readonly string[];
-  /** Longest time without an acknowledged write, in milliseconds. */
-  readonly gapMs: number;
-  readonly finalTerm: number;
-  /** Each primary with its term and the time of its first accepted writes. */
-  readonly primaries: readonly string[];
-}
-
-/** A VM that applies the failover decisions to the messages of the fleet. */
-class FakeVm {
-  state: FailoverState;
-  views: MemberView[] = [];
-  /** Messages wait in the inbox until this time. */
-  pausedUntil = 0;
-  readonly inbox: FailoverMessage[] = [];
-  readonly random: Random;
-
-  constructor(
-    readonly name: string,
-    dataCentre: string,
-    members: readonly FakeMember[],
-    seed: number,
-  ) {
-    this.random = new Random(seed);
-    const identity = {
-      database: 'ledger',
-      vm: name,
-      dataCentre,
-      owner: name,
-      switchoverGraceMs: SWITCHOVER_GRACE_MS,
-    };
-    this.state = {
-      ...initialFailoverState(identity),
-      dataCentresInService: 3,
-      members: members.map(member => ({
-        backendServer: member.name,
-        address: member.name,
-        eligibility: 'allowed',
-      })),
-    };
-  }
-
-  view(): GroupView {
-    return {database: 'ledger', members: this.views};
-  }
-}
-
 /** Simulates three data centres in virtual time, each with a member and a VM. */
 export class FakeFleet {
   private now = 0;
--- a/packages/core/src/failover/__tests__/fault_matrix.test.ts
+++ b/packages/core/src/failover/__tests__/fault_matrix.test.ts
@@ -1,7 +1,8 @@
 import fc from 'fast-check';
 import {describe, expect, it} from 'vitest';
-import {FAULT_KINDS, FakeFleet, STEPS} from '../__fixtures__/fake_fleet.js';
-import type {Scenario} from '../__fixtures__/fake_fleet.js';
+import {FAULT_KINDS, STEPS} from '../__fixtures__/failover_scenario.js';
+import type {Scenario} from '../__fixtures__/failover_scenario.js';
+import {FakeFleet} from '../__fixtures__/fake_fleet.js';
 
 const SEED = 20_261;
 const PAIR_RUNS = 150;
