Start no second process of a VM in the soak

Cause: two faults that overlap start the same VM one after the other. The second process ends with EADDRINUSE and replaces the first one in VmProcess, which nobody ends any more; later signals did not reach it either. A run whose VMs did not become ready ended none.

Change: start does nothing while the process runs, and a failed start ends all processes.

--- a/soak/src/run_soak.ts
+++ b/soak/src/run_soak.ts
@@ -80,8 +80,7 @@
     for (const {caller} of callers) caller.stop();
     await Promise.all(callers.map(item => item.done));
   } finally {
-    for (const vm of vms) vm.signal('SIGCONT');
-    await Promise.all(vms.map(vm => vm.end('SIGKILL')));
+    await endAll(vms);
     standins.close();
   }
   const violations = checkHistory(history, {
@@ -125,14 +124,29 @@
     vm.start();
     started.push(vm);
   }
+  try {
+    await waitUntilReady(started);
+  } catch (err) {
+    await endAll(started);
+    throw err;
+  }
+  return started;
+}
+
+async function waitUntilReady(vms: readonly VmProcess[]): Promise<void> {
   const until = performance.now() + READY_TIMEOUT_MS;
-  for (const {name, ports} of started) {
+  for (const {name, ports} of vms) {
     while (!(await isReady(ports.readiness))) {
       if (performance.now() > until) throw new Error(`${name} is not ready`);
       await sleep(50);
     }
   }
-  return started;
+}
+
+/** Ends the processes, also those that are paused. */
+async function endAll(vms: readonly VmProcess[]): Promise<void> {
+  for (const vm of vms) vm.signal('SIGCONT');
+  await Promise.all(vms.map(vm => vm.end('SIGKILL')));
 }
 
 function isReady(port: number): Promise<boolean> {
--- a/soak/src/vm_process.ts
+++ b/soak/src/vm_process.ts
@@ -38,8 +38,12 @@
     return `${LOOPBACK_HOST}:${this.ports.callers}`;
   }
 
-  /** Starts the process; its output is appended to the log of the VM. */
+  /**
+   * Starts the process unless it runs: faults that overlap may both start it.
+   * Its output is appended to the log of the VM.
+   */
   start(): void {
+    if (this.runningChild()) return;
     const log = openSync(this.logPath, 'a');
     this.child = spawn(
       process.execPath,
@@ -56,13 +60,20 @@
 
   /** Ends the process and waits for its exit; does nothing after an exit. */
   async end(signal: 'SIGTERM' | 'SIGKILL'): Promise<void> {
-    const {child} = this;
-    if (!child || child.exitCode !== null || child.signalCode !== null) return;
+    const child = this.runningChild();
+    if (!child) return;
     const exited = new Promise(resolve => child.once('exit', resolve));
     child.kill(signal);
     await exited;
   }
 
+  private runningChild(): ChildProcess | undefined {
+    const {child} = this;
+    const hasEnded =
+      !child || child.exitCode !== null || child.signalCode !== null;
+    return hasEnded ? undefined : child;
+  }
+
   /** Renders the settings file of the gateway. */
   private settings(): string {
     const {callers, readiness, peers, metrics} = this.ports;
