Decode the VM list entry by entry

Cause: one odd entry in the platform's VM list, or an unreadable body, threw in HttpVmList.read. The caller does not await it, so the MySQL daemon ended with an unhandled rejection at each reading.

--- a/packages/store/src/http_object_store.ts
+++ b/packages/store/src/http_object_store.ts
@@ -1,5 +1,6 @@
 import {ok} from '@pistachiorill/core';
 import type {Result} from '@pistachiorill/core';
+import {decodeResponse} from './decode_response.js';
 import {sendHttpRequest} from './http_request.js';
 import type {PlatformEndpoint} from './http_request.js';
 import {ObjectStore} from './object_store.js';
@@ -39,7 +40,7 @@
     const query = new URLSearchParams({prefix});
     const res = await sendHttpRequest(this.endpoint, `/objects?${query}`);
     if (!res.ok) return res;
-    return ok(NAMES_SCHEMA.parse(JSON.parse(res.value.body)));
+    return decodeResponse(NAMES_SCHEMA, res.value, 'unavailable');
   }
 }
 
--- a/packages/store/src/http_table_service.ts
+++ b/packages/store/src/http_table_service.ts
@@ -1,5 +1,6 @@
 import {fail, ok} from '@pistachiorill/core';
 import type {Result} from '@pistachiorill/core';
+import {decodeResponse} from './decode_response.js';
 import {sendHttpRequest} from './http_request.js';
 import type {PlatformEndpoint} from './http_request.js';
 import {ROWS_SCHEMA, ROW_SCHEMA} from './platform_api.js';
@@ -25,7 +26,7 @@
     const res = await sendHttpRequest(this.endpoint, rowPath(key));
     if (!res.ok) return res;
     if (res.value.status === NOT_FOUND) return ok(undefined);
-    return ok(ROW_SCHEMA.parse(JSON.parse(res.value.body)));
+    return decodeResponse(ROW_SCHEMA, res.value, 'unavailable');
   }
 
   override async write(
@@ -40,13 +41,15 @@
     });
     if (!res.ok) return res;
     if (res.value.status === PRECONDITION_FAILED) {
-      const current =
-        res.value.body === ''
-          ? undefined
-          : ROW_SCHEMA.parse(JSON.parse(res.value.body));
-      return fail({kind: 'conflict', current});
+      if (res.value.body === '') {
+        return fail({kind: 'conflict', current: undefined});
+      }
+      const current = decodeResponse(ROW_SCHEMA, res.value, 'unavailable');
+      return current.ok
+        ? fail({kind: 'conflict', current: current.value})
+        : current;
     }
-    return ok(ROW_SCHEMA.parse(JSON.parse(res.value.body)));
+    return decodeResponse(ROW_SCHEMA, res.value, 'unknown-outcome');
   }
 
   override async list(
@@ -55,7 +58,7 @@
     const query = new URLSearchParams({prefix});
     const res = await sendHttpRequest(this.endpoint, `/table?${query}`);
     if (!res.ok) return res;
-    return ok(ROWS_SCHEMA.parse(JSON.parse(res.value.body)));
+    return decodeResponse(ROWS_SCHEMA, res.value, 'unavailable');
   }
 }
 
--- a/packages/store/src/http_vm_list.ts
+++ b/packages/store/src/http_vm_list.ts
@@ -1,8 +1,9 @@
 import {ok} from '@pistachiorill/core';
 import type {Result} from '@pistachiorill/core';
+import {decodeResponse} from './decode_response.js';
 import {sendHttpRequest} from './http_request.js';
 import type {PlatformEndpoint} from './http_request.js';
-import {LISTED_VMS_SCHEMA} from './platform_api.js';
+import {LISTED_VM_SCHEMA, VM_LIST_SCHEMA} from './platform_api.js';
 import type {PlatformError} from './platform_error.js';
 import {VmList} from './vm_list.js';
 import type {ListedVm} from './vm_list.js';
@@ -16,6 +17,12 @@
   override async read(): Promise<Result<readonly ListedVm[], PlatformError>> {
     const res = await sendHttpRequest(this.endpoint, '/vms');
     if (!res.ok) return res;
-    return ok(LISTED_VMS_SCHEMA.parse(JSON.parse(res.value.body)));
+    const entries = decodeResponse(VM_LIST_SCHEMA, res.value, 'unavailable');
+    if (!entries.ok) return entries;
+    return ok(
+      entries.value.flatMap(
+        entry => LISTED_VM_SCHEMA.safeParse(entry).data ?? [],
+      ),
+    );
   }
 }
