Report unexpected errors of background work instead of ending the process

Cause: tasks started work with 'void promise', so that any exception in it was an unhandled rejection, which ends the process; a failed reading of the list of members also left the task listing for good.

Change: Task.runInBackground reports such an error like that of a message; the directory schedules the next reading in any case; after the start, errors that no task handled are logged and the process goes on.

--- a/packages/entry/src/failover/failover_task.ts
+++ b/packages/entry/src/failover/failover_task.ts
@@ -162,16 +162,20 @@
         if (action.kind === 'ended') this.deps.onEnded(action.attempt);
         return;
       case 'read-row':
-        void this.readRow().then(event => this.progress(event));
+        this.runInBackground(async () => this.progress(await this.readRow()));
         return;
       case 'write-row':
-        void this.writeRow(action).then(event => this.progress(event));
+        this.runInBackground(async () =>
+          this.progress(await this.writeRow(action)),
+        );
         return;
       case 'fence':
       case 'promote':
       case 'follow': {
         const {backendServer, ...call} = action;
-        void this.call(backendServer, call).then(event => this.progress(event));
+        this.runInBackground(async () =>
+          this.progress(await this.call(backendServer, call)),
+        );
         return;
       }
     }
--- a/packages/entry/src/membership/membership_task.ts
+++ b/packages/entry/src/membership/membership_task.ts
@@ -75,7 +75,7 @@
         this.tick();
         break;
       case 'read-list':
-        void this.readList();
+        this.runInBackground(() => this.readList());
         break;
       case 'retain-clients':
         this.retainClients();
@@ -94,7 +94,9 @@
         this.decide(message.event);
         break;
       case 'probe-indirect':
-        void this.probeOnBehalf(message.target, message.reply);
+        this.runInBackground(() =>
+          this.probeOnBehalf(message.target, message.reply),
+        );
         break;
       case 'authority':
         this.updateAuthority(message.event);
@@ -103,7 +105,7 @@
         message.reply.answer(this.status());
         break;
       case 'leave':
-        void this.leave(message.reply);
+        this.runInBackground(() => this.leave(message.reply));
         break;
       case 'return':
         this.decide(message);
@@ -142,7 +144,7 @@
     );
     for (const instance of proofTargets) {
       const target = running.get(instance);
-      if (target) void this.probe(target);
+      if (target) this.runInBackground(() => this.probe(target));
     }
   }
 
@@ -155,9 +157,10 @@
 
   private perform(action: MembershipAction): void {
     if (action.kind === 'probe') {
-      void this.probe(action.target);
+      this.runInBackground(() => this.probe(action.target));
     } else {
-      void this.probeIndirectly(action.target, action.via);
+      const {target, via} = action;
+      this.runInBackground(() => this.probeIndirectly(target, via));
     }
   }
 
--- a/packages/gateway/src/database/database_task.ts
+++ b/packages/gateway/src/database/database_task.ts
@@ -108,14 +108,17 @@
         this.stopPrimary(message, now);
         return;
       case 'sight':
-        void this.sight(message.reply);
+        this.runInBackground(() => this.sight(message.reply));
         return;
       case 'status':
-        void this.status(message.member).then(message.reply.answer);
+        this.runInBackground(async () =>
+          message.reply.answer(await this.status(message.member)),
+        );
         return;
       case 'step-down': {
         const listed = this.members.listed(message.member);
-        if (listed) void this.control.stepDown(listed, message.term);
+        if (!listed) return;
+        this.runInBackground(() => this.control.stepDown(listed, message.term));
         return;
       }
       case 'tick':
@@ -345,9 +348,10 @@
       const {member} = listed;
       if (this.probing.has(member)) continue;
       this.probing.add(member);
-      void this.control
-        .status(listed)
-        .then(status => this.tell({kind: 'probed', member, status}));
+      this.runInBackground(async () => {
+        const status = await this.control.status(listed);
+        this.tell({kind: 'probed', member, status});
+      });
     }
   }
 
--- a/packages/gateway/src/fleet/fleet_task.ts
+++ b/packages/gateway/src/fleet/fleet_task.ts
@@ -85,7 +85,9 @@
         this.applyWatchedRows(message.scope, message.answer);
         return;
       case 'transact':
-        void this.transact(message.transaction).then(message.reply.answer);
+        this.runInBackground(async () =>
+          message.reply.answer(await this.transact(message.transaction)),
+        );
         return;
       case 'written':
         this.written(message.transaction, message.answer);
@@ -102,7 +104,9 @@
         return;
       case 'leave':
         this.phase = 'leaving';
-        void this.leave().then(message.reply.answer);
+        this.runInBackground(async () =>
+          message.reply.answer(await this.leave()),
+        );
         return;
     }
   }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,5 +1,6 @@
 /** The gateway daemon, for platforms on which each session is a connection. */
 export {GatewayDaemon} from './daemon/gateway_daemon.js';
+export {logUnhandledErrors} from './daemon/unhandled_errors.js';
 export type {GatewayPorts, OpenPorts} from './daemon/gateway_ports.js';
 export {checkGatewaySettings} from './daemon/gateway_settings.js';
 export type {GatewaySettings} from './daemon/gateway_settings.js';
--- a/packages/gateway/src/leadership/leadership_task.ts
+++ b/packages/gateway/src/leadership/leadership_task.ts
@@ -112,7 +112,7 @@
         this.handleSuspicion(message.group, message.primary, message.since);
         return;
       case 'asked':
-        void this.evaluatePrimary(message.group, 0);
+        this.runInBackground(() => this.evaluatePrimary(message.group, 0));
         return;
       case 'review':
         this.review();
@@ -180,7 +180,8 @@
     this.pendingChanges.set(group, change);
     const waitMs =
       (reason === 'gone' ? MISSING_PRIMARY_WAIT_MS : 0) + this.rankDelay(group);
-    if (now - change.since >= waitMs) void this.startChange(group, change);
+    if (now - change.since < waitMs) return;
+    this.runInBackground(() => this.startChange(group, change));
   }
 
   /** Records the member that is listed as primary, before any VM uses it. */
@@ -231,7 +232,7 @@
     if (last && now - last.at < last.waitMs) return;
     const record = this.deps.view().rows.leadership.get(group)?.record;
     if (record?.phase !== 'settled' || record.primary !== primary) return;
-    void this.evaluatePrimary(group, since);
+    this.runInBackground(() => this.evaluatePrimary(group, since));
   }
 
   private recordEvaluation(group: string, now: number): void {
--- a/packages/gateway/src/operators/__tests__/directory_task.test.ts
+++ b/packages/gateway/src/operators/__tests__/directory_task.test.ts
@@ -13,13 +13,14 @@
 
 /** The list in the store, which may be unavailable. */
 class FakeDirectory extends MemberDirectory {
-  state: 'answers' | 'away' = 'answers';
+  state: 'answers' | 'away' | 'throws' = 'answers';
   members: readonly ListedMember[] = [READY, listedMember('b')];
   reads = 0;
 
   override async list() {
     this.reads++;
     if (this.state === 'answers') return ok(this.members);
+    if (this.state === 'throws') throw new TypeError('unexpected entry');
     return fail({kind: 'unavailable' as const, detail: 'away'});
   }
 }
@@ -64,9 +65,7 @@
       views.push(members.map(item => `${item.member} ${item.state}`).join()),
     onStoreFailure: () => undefined,
     log: silentLogger(),
-    onFailed: err => {
-      throw err;
-    },
+    onFailed: err => views.push(String(err)),
   });
   closers.push(() => task.tell({kind: 'stop'}));
   const list = async (): Promise<void> => {
@@ -77,6 +76,19 @@
 }
 
 describe('DirectoryTask', () => {
+  // Guards against a VM that no longer follows the list, or ends, after an
+  // unexpected error in one reading of it.
+  it('keeps listing the members after an unexpected error', async () => {
+    const {directory, views, list} = start(8, 'vm-0');
+    await list();
+    directory.state = 'throws';
+    await list();
+    directory.state = 'answers';
+    directory.members = [LEAVING];
+    await list();
+    expect(views).toMatchSnapshot();
+  });
+
   // Guards against new work for a member that is leaving, because a peer sends
   // an older list while the store is unavailable.
   it.each([
--- a/packages/gateway/src/operators/directory_task.ts
+++ b/packages/gateway/src/operators/directory_task.ts
@@ -102,7 +102,7 @@
   protected override handle(message: DirectoryMessage): void {
     switch (message.kind) {
       case 'list':
-        if (this.state === 'idle') void this.list();
+        if (this.state === 'idle') this.runInBackground(() => this.list());
         return;
       case 'listed':
         this.mergeList(message);
@@ -127,12 +127,17 @@
   private async list(): Promise<void> {
     this.state = 'listing';
     this.listedAt = this.deps.clock();
-    const listed = (await this.askReader()) ?? (await this.readStore());
-    if (this.isStopped()) return;
-    if (listed) this.tell(listed);
-    this.state = 'idle';
-    this.schedule(listed ? this.interval() : RETRY_INTERVAL_MS);
-    this.pace = 'usual';
+    let listed: ListedMessage | undefined;
+    try {
+      listed = (await this.askReader()) ?? (await this.readStore());
+      if (listed && !this.isStopped()) this.tell(listed);
+    } finally {
+      if (!this.isStopped()) {
+        this.state = 'idle';
+        this.schedule(listed ? this.interval() : RETRY_INTERVAL_MS);
+        this.pace = 'usual';
+      }
+    }
   }
 
   /**
--- a/packages/tasks/src/task.ts
+++ b/packages/tasks/src/task.ts
@@ -62,9 +62,21 @@
     }
   }
 
-  private async handleSafely(message: M): Promise<void> {
+  /**
+   * Runs work while further messages are handled. An unexpected error is
+   * reported like that of a message; it would otherwise end the process.
+   */
+  protected runInBackground(work: () => Promise<unknown>): void {
+    void this.reportFailure(work);
+  }
+
+  private handleSafely(message: M): Promise<void> {
+    return this.reportFailure(async () => this.handle(message));
+  }
+
+  private async reportFailure(work: () => Promise<unknown>): Promise<void> {
     try {
-      await this.handle(message);
+      await work();
     } catch (err) {
       this.onFailure(err);
     }
