Let two VMs of each data centre watch the store for the others

Cause: every VM held one request for changes of the shared rows and one for the operators' rows.

Change: above 12 VMs a VM follows one of two watchers of its data centre, chosen by rendezvous hash, which relay changes, proofs and confirmations between VMs. A follower reads the store itself when its copy gets too old (3.6 s for the shared rows; early enough for the time to apply a change for the operators' rows), so that a frozen, cut off or lost watcher delays nothing beyond the bounds. States above 64 KiB are announced and read from the store. Table copies return the changes after a version, with removals.

Ruled out: relays within the whole fleet (traffic between data centres) and following where changes apply within less than 4.5 s (no time for two recoveries; the case 'frozen and silent' at 3 s failed).

--- a/packages/core/src/common/representatives.ts
+++ b/packages/core/src/common/representatives.ts
@@ -1,7 +1,7 @@
 import {rendezvousOrder} from './rendezvous.js';
 
 /** In a fleet of up to this many VMs, every VM is a representative. */
-const MAX_VMS_WITHOUT_SELECTION = 12;
+export const MAX_VMS_WITHOUT_SELECTION = 12;
 /** The number of representatives in a larger fleet. */
 const REPRESENTATIVE_COUNT = 8;
 
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -55,6 +55,7 @@
 } from './retry/decide_retry.js';
 export * from './retry/retry_budget.js';
 export * from './failover/index.js';
+export * from './watching/index.js';
 export * from './connections/forward_targets.js';
 export * from './connections/group_owners.js';
 export * from './connections/may_open_connections.js';
--- a/packages/core/src/leadership/store_clock.ts
+++ b/packages/core/src/leadership/store_clock.ts
@@ -21,12 +21,22 @@
   sentAt: number,
   receivedAt: number,
 ): StoreClock {
-  const minOffset = storeMs - receivedAt;
-  const maxOffset = storeMs - sentAt;
+  return narrowStoreClockTo(clock, {
+    minOffset: storeMs - receivedAt,
+    maxOffset: storeMs - sentAt,
+  });
+}
+
+/** Narrows the bounds to those of another VM or of one answer. */
+export function narrowStoreClockTo(
+  clock: StoreClock,
+  bounds: StoreClock,
+): StoreClock {
+  const {minOffset, maxOffset} = bounds;
   // Bounds that contradict the answer come from a clock that was wrong, so only
   // the answer counts.
   if (minOffset > clock.maxOffset || maxOffset < clock.minOffset) {
-    return {minOffset, maxOffset};
+    return bounds;
   }
   return {
     minOffset: Math.max(clock.minOffset, minOffset),
--- a/packages/gateway/src/daemon/daemon_peer_handlers.ts
+++ b/packages/gateway/src/daemon/daemon_peer_handlers.ts
@@ -1,13 +1,16 @@
 import type {LogPosition, PrimaryObservation} from '@pistachiorill/core';
 import {ask} from '@pistachiorill/tasks';
 import type {DatabaseTask} from '../database/database_task.js';
-import type {RelayedRows} from '../fleet/fleet_message.js';
 import type {FleetTask} from '../fleet/fleet_task.js';
+import type {RelayRequest, RelayedRows} from '../fleet/relayed_rows.js';
 import type {LeadershipTask} from '../leadership/leadership_task.js';
 import {GatewayHandlers} from '../peers/gateway_handlers.js';
 import type {RelayedConfiguration} from '../peers/gateway_handlers.js';
-import type {StopRequest} from '../peers/gateway_router.js';
-import type {OperatorState} from '../ports/configuration_source.js';
+import type {
+  ConfigurationRequest,
+  StopRequest,
+} from '../peers/gateway_router.js';
+import type {ConfigurationTask} from '../operators/configuration_task.js';
 import type {
   DirectoryTask,
   RelayedMembers,
@@ -20,7 +23,7 @@
   readonly fleet: FleetTask;
   readonly leadership: LeadershipTask;
   readonly quota: QuotaTask;
-  readonly operators: () => OperatorState | undefined;
+  readonly configuration: ConfigurationTask;
   readonly directory: DirectoryTask;
 }
 
@@ -61,17 +64,20 @@
     this.deps.leadership.tell({kind: 'asked', group});
   }
 
-  override async relay(): Promise<RelayedRows | null> {
+  override async relay(request: RelayRequest): Promise<RelayedRows | null> {
     const relayed = await ask<RelayedRows | undefined>(reply =>
-      this.deps.fleet.tell({kind: 'relay', reply}),
+      this.deps.fleet.tell({kind: 'relay', request, reply}),
     );
     return relayed ?? null;
   }
 
-  override configuration(newerThan: number): RelayedConfiguration | null {
-    const operators = this.deps.operators();
-    if (!operators || operators.revision <= newerThan) return null;
-    return {encoded: operators.encoded};
+  override async configuration(
+    request: ConfigurationRequest,
+  ): Promise<RelayedConfiguration | null> {
+    const relayed = await ask<RelayedConfiguration | undefined>(reply =>
+      this.deps.configuration.tell({kind: 'relay', request, reply}),
+    );
+    return relayed ?? null;
   }
 
   override async directory(): Promise<RelayedMembers | null> {
--- a/packages/gateway/src/daemon/gateway_daemon.ts
+++ b/packages/gateway/src/daemon/gateway_daemon.ts
@@ -13,6 +13,7 @@
 import {SuspensionClock, SystemClocks} from '../clock/suspension_clock.js';
 import {DatabaseSet} from './database_set.js';
 import {FleetTask} from '../fleet/fleet_task.js';
+import {dataCentresOf} from '../fleet/fleet_rows.js';
 import {EMPTY_FLEET_VIEW, isProven, provenShares} from '../fleet/fleet_view.js';
 import type {FleetView} from '../fleet/fleet_view.js';
 import {ShareAllocator} from '../fleet/share_allocator.js';
@@ -21,6 +22,7 @@
 import {DirectoryTask} from '../operators/directory_task.js';
 import {GATEWAY_ROUTER} from '../peers/gateway_router.js';
 import {PeerSet} from '../peers/peer_set.js';
+import {WatcherChoice} from '../peers/watcher_choice.js';
 import type {CallerLink, CallerServer} from '../ports/caller_link.js';
 import type {OperatorState} from '../ports/configuration_source.js';
 import type {ListedMember} from '../ports/member_directory.js';
@@ -96,6 +98,13 @@
       this.metrics.storeFailed(call);
     };
     const {name: vm, data_centre: dataCentre} = settings.vm;
+    const newWatcherChoice = (): WatcherChoice =>
+      new WatcherChoice({
+        vm,
+        dataCentre,
+        dataCentreByVm: () => dataCentresOf(this.currentView().rows),
+        peers,
+      });
     this.fleet = new FleetTask({
       vm,
       entry: {
@@ -105,6 +114,7 @@
       },
       store: this.ports.store,
       peers,
+      watcher: newWatcherChoice(),
       clock,
       onView: view => this.applyView(view),
       onStoreFailure,
@@ -178,6 +188,7 @@
     this.configuration = new ConfigurationTask({
       source: this.ports.source,
       peers,
+      watcher: newWatcherChoice(),
       clock,
       applyWithinMs: settings.limits.configuration_apply_ms,
       onConfirmed: () => this.metrics.configurationConfirmed(),
@@ -206,7 +217,7 @@
             fleet: this.fleet,
             leadership: this.leadership,
             quota: this.quota,
-            operators: () => this.operators,
+            configuration: this.configuration,
             directory: this.directory,
           }),
         },
--- a/packages/gateway/src/fleet/__tests__/fleet_task.test.ts
+++ b/packages/gateway/src/fleet/__tests__/fleet_task.test.ts
@@ -3,9 +3,10 @@
 import {ask} from '@pistachiorill/tasks';
 import {PeerSet} from '../../peers/peer_set.js';
 import {silentLogger} from '../../testing/fake_group.js';
+import {noWatchers} from '../../testing/fake_fleet_peers.js';
 import {FakeStore} from '../../testing/fake_store.js';
 import {FleetTask} from '../fleet_task.js';
-import type {RelayedRows} from '../fleet_message.js';
+import type {RelayedRows} from '../relayed_rows.js';
 import {isProven, provenShares, primaryLeaseOf} from '../fleet_view.js';
 import type {FleetView} from '../fleet_view.js';
 
@@ -31,11 +32,13 @@
   const store = new FakeStore(clock);
   change(store);
   const views: FleetView[] = [];
+  const peers = new PeerSet(new Random(1));
   const task = new FleetTask({
     vm: 'vm-a',
     entry: {peers: '10.0.0.1:1', dataCentre: 'macon', incarnation: 'i-1'},
     store,
-    peers: new PeerSet(new Random(1)),
+    peers,
+    watcher: noWatchers(peers),
     clock,
     onView: view => views.push(view),
     onStoreFailure: () => undefined,
@@ -162,6 +165,8 @@
             version,
           },
         ],
+        removed: [],
+        after: 0,
         version,
         asOfStoreMs: now + 1_000_000,
         earliestStoreMs: now + 1_000_000,
@@ -210,7 +215,13 @@
       fake.mode = 'reads-only';
     });
     const relay = () =>
-      ask<RelayedRows | undefined>(reply => task.tell({kind: 'relay', reply}));
+      ask<RelayedRows | undefined>(reply =>
+        task.tell({
+          kind: 'relay',
+          request: {after: 0, provenTo: -1, waitMs: 0},
+          reply,
+        }),
+      );
     await settle();
     const before = await relay();
     store.mode = 'answers';
--- a/packages/gateway/src/fleet/fleet_message.ts
+++ b/packages/gateway/src/fleet/fleet_message.ts
@@ -3,20 +3,10 @@
   RowTransaction,
   StoreWriteError,
   TableReadResult,
-  TableRow,
   TransactionResult,
 } from '@pistachiorill/store';
 import type {Reply} from '@pistachiorill/tasks';
-
-/** A VM's copy of the rows, as it is sent to a peer. */
-export interface RelayedRows {
-  readonly rows: readonly TableRow[];
-  readonly version: number;
-  readonly asOfStoreMs: number;
-  /** Bounds of the store's clock when the VM sent the copy. */
-  readonly earliestStoreMs: number;
-  readonly latestStoreMs: number;
-}
+import type {RelayRequest, RelayedRows} from './relayed_rows.js';
 
 /** Whether the store is asked for all rows or for the changes of a copy. */
 export type ReadScope = 'all' | 'changes';
@@ -47,9 +37,10 @@
       readonly sentAt: number;
       readonly receivedAt: number;
     }
-  /** A peer asks for this VM's copy of the rows. */
+  /** A peer asks for changes of this VM's copy of the rows. */
   | {
       readonly kind: 'relay';
+      readonly request: RelayRequest;
       readonly reply: Reply<RelayedRows | undefined>;
     }
   | {readonly kind: 'clock-skipped'; readonly skippedMs: number}
--- a/packages/gateway/src/fleet/fleet_rows.ts
+++ b/packages/gateway/src/fleet/fleet_rows.ts
@@ -82,6 +82,11 @@
   readonly shares: Versioned<ShareTable> | undefined;
 }
 
+/** Returns the data centre of each registered VM. */
+export function dataCentresOf({vms}: FleetRows): ReadonlyMap<string, string> {
+  return new Map([...vms].map(([vm, {value}]) => [vm, value.dataCentre]));
+}
+
 /** Decodes the rows; reports unreadable ones and leaves them out. */
 export function decodeRows(
   rows: Iterable<TableRow>,
--- a/packages/gateway/src/fleet/fleet_task.ts
+++ b/packages/gateway/src/fleet/fleet_task.ts
@@ -1,17 +1,14 @@
 import {
   UNKNOWN_STORE_CLOCK,
-  fail,
-  widenStoreClock,
-  narrowStoreClock,
-  earliestStoreTime,
-  isRevoked,
+  decideFollow,
   latestStoreTime,
+  narrowStoreClock,
+  widenStoreClock,
 } from '@pistachiorill/core';
 import type {StoreClock, StoreProof} from '@pistachiorill/core';
-import {TableCopy, describeStaleAnswer} from '@pistachiorill/store';
+import {TableCopy} from '@pistachiorill/store';
 import type {
   RowTransaction,
-  StoreReadError,
   StoreTiming,
   StoreWriteError,
   TableReadResult,
@@ -19,23 +16,28 @@
   TransactionalStore,
 } from '@pistachiorill/store';
 import type {Result} from '@pistachiorill/core';
-import {Task, sleep} from '@pistachiorill/tasks';
-import type {Clock} from '@pistachiorill/tasks';
+import {Task, settled, sleep} from '@pistachiorill/tasks';
+import type {Clock, Reply} from '@pistachiorill/tasks';
 import type {Logger} from '@pistachiorill/telemetry';
 import type {PeerSet} from '../peers/peer_set.js';
-import type {FleetMessage, ReadScope, RelayedRows} from './fleet_message.js';
-import {SHARES_KEY, decodeRows, isVmRow, vmKey} from './fleet_rows.js';
-import type {FleetRows, VmRegistration} from './fleet_rows.js';
+import {WaitingReplies} from '../peers/waiting_replies.js';
+import type {WatcherChoice} from '../peers/watcher_choice.js';
+import type {FleetMessage, ReadScope} from './fleet_message.js';
+import {decodeRows, isVmRow, vmKey} from './fleet_rows.js';
+import type {VmRegistration} from './fleet_rows.js';
 import type {FleetView} from './fleet_view.js';
+import {joinedState, registrationOf} from './registration.js';
+import {applyRelayedRows, narrowByRelay, relayRows} from './relayed_rows.js';
+import type {RelayRequest, RelayedRows} from './relayed_rows.js';
+import {StoreReader} from './store_reader.js';
 
 /**
  * How long the store holds a request for changes. Each answer renews the
  * primary leases, so several must fit into the duration of a lease.
  */
 const WATCH_TIMEOUT_MS = 3_000;
-/** First pause after a failed call; it doubles up to the maximum. */
-const FIRST_RETRY_MS = 150;
-const MAX_RETRY_MS = 1_000;
+/** The pause after a watcher did not answer. */
+const WATCHER_RETRY_MS = 150;
 /**
  * VMs that start together register one after the other. After a registration,
  * a pause lets the next request return several further ones at once.
@@ -45,6 +47,11 @@
 const RELAY_PROOF_AGE_MS = 4_500;
 const RELAY_TIMEOUT_MS = 300;
 const RELAY_PEER_COUNT = 2;
+/**
+ * A VM that follows a watcher asks the store itself once its proof is this old.
+ * A watcher's proof is a little older than a request to the store is held.
+ */
+const MAX_FOLLOWED_PROOF_AGE_MS = 3_600;
 
 /** Collaborators of the fleet task. */
 export interface FleetDependencies {
@@ -53,6 +60,8 @@
   readonly entry: VmRegistration;
   readonly store: TransactionalStore;
   readonly peers: PeerSet;
+  /** The watcher that this VM follows, if it does not watch the store itself. */
+  readonly watcher: WatcherChoice;
   readonly clock: Clock;
   readonly onView: (view: FleetView) => void;
   readonly onStoreFailure: (call: string) => void;
@@ -67,12 +76,13 @@
   private storeClock: StoreClock = UNKNOWN_STORE_CLOCK;
   private phase: 'running' | 'leaving' = 'running';
   private registration: 'idle' | 'under-way' = 'idle';
-  private retryMs = FIRST_RETRY_MS;
-  private storeState: 'answering' | 'failing' = 'answering';
+  private readonly reader: StoreReader;
+  private readonly waitingPeers = new WaitingReplies();
   private view: FleetView;
 
   constructor(private readonly deps: FleetDependencies) {
     super();
+    this.reader = new StoreReader(deps);
     this.view = this.currentView();
   }
 
@@ -96,7 +106,7 @@
         this.applyRelayedRows(message);
         return;
       case 'relay':
-        message.reply.answer(this.relay());
+        this.relay(message.request, message.reply);
         return;
       case 'clock-skipped':
         this.storeClock = widenStoreClock(this.storeClock, message.skippedMs);
@@ -104,6 +114,7 @@
         return;
       case 'leave':
         this.phase = 'leaving';
+        this.waitingPeers.release();
         this.runInBackground(async () =>
           message.reply.answer(await this.leave()),
         );
@@ -120,15 +131,17 @@
     let next: ReadScope = 'all';
     let history: 'kept' | 'lost' = 'kept';
     while (this.phase === 'running') {
-      const result = await this.readStore(next);
+      if ((await this.followWatcher()) === 'followed') continue;
+      const isWatcher = this.deps.watcher.next() === undefined;
+      const holdMs = isWatcher ? WATCH_TIMEOUT_MS : 0;
+      const result = await this.reader.read(next, this.copy, holdMs);
       if (result.ok) {
         if (next === 'changes') history = 'kept';
-        if (history === 'kept') this.retryMs = FIRST_RETRY_MS;
-        this.recordStoreAnswer();
+        this.reader.answered(history);
         this.tell({kind: 'watched', scope: next, answer: result.value});
         next = 'changes';
         // The next request names the version that this answer sets.
-        await this.settled();
+        await settled();
         if (this.mayPause(result.value)) await sleep(REGISTRATION_PAUSE_MS);
         continue;
       }
@@ -138,65 +151,22 @@
           'the store lost the changes since this version; reading all rows',
         );
         next = 'all';
-        if (history === 'lost') await this.pauseBeforeRetry();
+        if (history === 'lost') await this.reader.pauseBeforeRetry();
         history = 'lost';
         continue;
       }
-      this.recordStoreFailure(result.err.detail);
+      this.reader.failed(result.err.detail);
       await this.askPeers();
-      await this.pauseBeforeRetry();
+      await this.reader.pauseBeforeRetry();
     }
   }
 
-  private async pauseBeforeRetry(): Promise<void> {
-    await sleep(this.retryMs);
-    this.retryMs = Math.min(MAX_RETRY_MS, this.retryMs * 2);
-  }
-
-  /**
-   * Reads the store; fails if the answer is older than this VM's copy. After a
-   * failure the answer is not held, as the proof has aged meanwhile.
-   */
-  private async readStore(
-    scope: ReadScope,
-  ): Promise<Result<TableReadResult, StoreReadError>> {
-    const {store} = this.deps;
-    const waitMs = this.storeState === 'failing' ? 0 : WATCH_TIMEOUT_MS;
-    const result =
-      scope === 'all'
-        ? await store.readAll()
-        : await store.changes(this.copy.version, waitMs);
-    if (!result.ok || result.value.version >= this.copy.version) return result;
-    const detail = describeStaleAnswer(this.copy, result.value);
-    return fail({kind: 'unavailable', detail});
-  }
-
   /** A VM that has not joined does not pause: it waits for its own row. */
   private mayPause({rows, removed}: TableReadResult): boolean {
     const hasOnlyPuts = rows.length > 0 && removed.length === 0;
     return this.view.joined === 'joined' && hasOnlyPuts && rows.every(isVmRow);
   }
 
-  /** Waits until the task has handled the messages sent so far. */
-  private settled(): Promise<void> {
-    return new Promise(resolve => {
-      setImmediate(resolve);
-    });
-  }
-
-  private recordStoreAnswer(): void {
-    if (this.storeState === 'answering') return;
-    this.storeState = 'answering';
-    this.deps.log.info({event: 'store.answers'}, 'store answers again');
-  }
-
-  private recordStoreFailure(detail: string): void {
-    this.deps.onStoreFailure('watch');
-    if (this.storeState === 'failing') return;
-    this.storeState = 'failing';
-    this.deps.log.warn({event: 'store.fails', detail}, 'store does not answer');
-  }
-
   private applyWatchedRows(scope: ReadScope, answer: TableReadResult): void {
     this.updateStoreClock(answer);
     const hasChanges =
@@ -234,59 +204,36 @@
       version: this.copy.version,
       proof: this.proof,
       storeClock: this.storeClock,
-      joined: this.joinedState(rows),
+      joined: joinedState(this.deps, rows, this.copy.version),
     };
   }
 
-  /**
-   * A VM counts as joined once it has all rows up to its own registration. It
-   * then has every primary change whose coordinator could not yet see that this
-   * VM is registered.
-   */
-  private joinedState(rows: FleetRows): FleetView['joined'] {
-    const {vm, entry} = this.deps;
-    const own = rows.vms.get(vm);
-    const isKnown =
-      own?.value.incarnation === entry.incarnation &&
-      own.version <= this.copy.version;
-    const revoked = rows.shares && isRevoked(rows.shares.value, vm);
-    return isKnown && !revoked ? 'joined' : 'not-joined';
-  }
-
   private publish(): void {
     this.view = this.currentView();
     this.deps.onView(this.view);
+    this.waitingPeers.release();
   }
 
   /** Publishes a newer proof without decoding the rows, which are unchanged. */
   private publishProof(): void {
     const {proof, storeClock} = this;
     const {version} = this.copy;
-    const joined = this.joinedState(this.view.rows);
+    const joined = joinedState(this.deps, this.view.rows, version);
     this.view = {...this.view, version, proof, storeClock, joined};
     this.deps.onView(this.view);
+    this.waitingPeers.release();
   }
 
   /** Registers this process; a primary change then asks it to stop first. */
   private join(): void {
-    const {vm, entry, log} = this.deps;
-    const {vms, shares} = this.view.rows;
-    const own = vms.get(vm)?.value;
-    const revoked = shares && isRevoked(shares.value, vm) ? shares : undefined;
-    if (own?.incarnation === entry.incarnation && !revoked) return;
+    const transaction = registrationOf(this.deps, this.view.rows);
+    if (!transaction) return;
     if (this.registration === 'under-way' || this.phase === 'leaving') return;
     this.registration = 'under-way';
-    const puts = new Map([[vmKey(vm), JSON.stringify(entry)]]);
-    const expected = new Map<string, number>();
-    if (revoked) {
-      // A revoked share that was not given to other VMs yet is taken back.
-      const ppm = revoked.value[vm]?.ppm ?? 0;
-      expected.set(SHARES_KEY, revoked.version);
-      puts.set(SHARES_KEY, JSON.stringify({...revoked.value, [vm]: {ppm}}));
-    }
-    void this.transact({expected, puts}).then(result => {
+    this.runInBackground(async () => {
+      const result = await this.transact(transaction);
       this.registration = 'idle';
-      log.info(
+      this.deps.log.info(
         {event: 'fleet.join', result: result.ok ? 'done' : result.err},
         'tried to register this VM',
       );
@@ -334,57 +281,109 @@
   }
 
   /**
-   * Returns the copy for a peer. A VM that has not joined has none: only its own
+   * Answers a peer with the changes of the copy, as soon as there is a newer
+   * proof than the peer's. A VM that has not joined has none: only its own
    * registration shows that the rows it read are not from an older state.
    */
-  private relay(): RelayedRows | undefined {
-    const now = this.deps.clock();
-    if (!this.proof || this.view.joined === 'not-joined') return undefined;
-    return {
-      rows: this.copy.values(),
-      version: this.copy.version,
-      asOfStoreMs: this.proof.asOfStoreMs,
-      earliestStoreMs: earliestStoreTime(this.storeClock, now),
-      latestStoreMs: latestStoreTime(this.storeClock, now),
+  private relay(
+    {after, provenTo, waitMs}: RelayRequest,
+    reply: Reply<RelayedRows | undefined>,
+  ): void {
+    const answer = (): void => {
+      const {copy, proof, storeClock, view} = this;
+      const isUsable = proof !== undefined && view.joined === 'joined';
+      reply.answer(
+        isUsable
+          ? relayRows(copy, after, proof, storeClock, this.deps.clock())
+          : undefined,
+      );
     };
+    const isNewer =
+      this.proof !== undefined && this.proof.asOfStoreMs > provenTo;
+    const isHeld = !isNewer && waitMs > 0 && this.phase === 'running';
+    if (isHeld) this.waitingPeers.add(answer, waitMs);
+    else answer();
+  }
+
+  /**
+   * Receives changes through a watcher. Returns `ask-store` if this VM watches
+   * the store itself, or if no watcher keeps its proof recent.
+   */
+  private async followWatcher(): Promise<'followed' | 'ask-store'> {
+    const {watcher, clock} = this.deps;
+    const name = watcher.next();
+    if (name === undefined) return 'ask-store';
+    const now = clock();
+    const decision = decideFollow(
+      {
+        confirmedAt: now - this.proofAgeMs(now),
+        maxAgeMs: MAX_FOLLOWED_PROOF_AGE_MS,
+        askedStoreAt: this.reader.askedAt,
+        storeFailures: this.reader.failures,
+      },
+      now,
+    );
+    if (decision.kind === 'ask-store') return 'ask-store';
+    const outcome = await this.askPeer(name, decision.waitMs);
+    if (outcome === 'answered') {
+      await settled();
+    } else {
+      watcher.failed(name);
+      await sleep(WATCHER_RETRY_MS);
+    }
+    return 'followed';
+  }
+
+  private proofAgeMs(now: number): number {
+    if (!this.proof) return Infinity;
+    return latestStoreTime(this.storeClock, now) - this.proof.asOfStoreMs;
   }
 
   /** Asks peers for their copies while the store does not answer. */
   private async askPeers(): Promise<void> {
     const {clock, peers} = this.deps;
-    const now = clock();
-    const age = this.proof
-      ? latestStoreTime(this.storeClock, now) - this.proof.asOfStoreMs
-      : Infinity;
-    if (age < RELAY_PROOF_AGE_MS) return;
-    await Promise.all(
-      peers.sample(RELAY_PEER_COUNT, undefined).map(async peer => {
-        const sentAt = clock();
-        const answer = await peers.relay(peer, RELAY_TIMEOUT_MS);
-        if (!answer.ok || !answer.value) return;
-        const receivedAt = clock();
-        this.tell({kind: 'relayed', relayed: answer.value, sentAt, receivedAt});
-      }),
-    );
+    if (this.proofAgeMs(clock()) < RELAY_PROOF_AGE_MS) return;
+    const names = peers.sample(RELAY_PEER_COUNT, undefined);
+    await Promise.all(names.map(peer => this.askPeer(peer, 0)));
+  }
+
+  /** Asks a peer for changes of the rows; it may hold its answer. */
+  private async askPeer(
+    peer: string,
+    waitMs: number,
+  ): Promise<'answered' | 'no-answer'> {
+    const {clock, peers} = this.deps;
+    const sentAt = clock();
+    const after = this.copy.version;
+    const provenTo = this.proof?.asOfStoreMs ?? -1;
+    const request = {after, provenTo, waitMs};
+    const timeoutMs = waitMs + RELAY_TIMEOUT_MS;
+    const answer = await peers.relay(peer, request, timeoutMs);
+    if (!answer.ok || !answer.value) return 'no-answer';
+    const receivedAt = clock();
+    this.tell({kind: 'relayed', relayed: answer.value, sentAt, receivedAt});
+    return 'answered';
   }
 
-  /** Applies a peer's copy of the rows, unless this VM's own copy is newer. */
+  /** Applies a peer's changes, unless this VM's own copy is newer. */
   private applyRelayedRows({
     relayed,
     sentAt,
     receivedAt,
   }: Extract<FleetMessage, {kind: 'relayed'}>): void {
-    const {earliestStoreMs, latestStoreMs} = relayed;
-    this.storeClock = {
-      minOffset: Math.max(
-        this.storeClock.minOffset,
-        earliestStoreMs - receivedAt,
-      ),
-      maxOffset: Math.min(this.storeClock.maxOffset, latestStoreMs - sentAt),
-    };
-    if (this.copy.replace(relayed) === 'applied') {
+    const {rows, removed, after} = relayed;
+    this.storeClock = narrowByRelay(
+      this.storeClock,
+      relayed,
+      sentAt,
+      receivedAt,
+    );
+    if (applyRelayedRows(this.copy, relayed) === 'applied') {
       this.advanceProof(relayed.asOfStoreMs);
     }
-    this.publish();
+    const hasChanges = after === 0 || rows.length > 0 || removed.length > 0;
+    if (hasChanges) this.publish();
+    else this.publishProof();
+    this.join();
   }
 }
--- a/packages/gateway/src/operators/__tests__/configuration_task.test.ts
+++ b/packages/gateway/src/operators/__tests__/configuration_task.test.ts
@@ -7,6 +7,7 @@
 import {ConfigurationSource} from '../../ports/configuration_source.js';
 import type {OperatorState} from '../../ports/configuration_source.js';
 import {silentLogger} from '../../testing/fake_group.js';
+import {noWatchers} from '../../testing/fake_fleet_peers.js';
 import {ConfigurationTask} from '../configuration_task.js';
 
 /** The time within which a change must be in force on every VM. */
@@ -88,9 +89,11 @@
 ) {
   const source = new FakeSource();
   const applied: number[] = [];
+  const peers = new PeerSet(new Random(1));
   const task = new ConfigurationTask({
     source,
-    peers: new PeerSet(new Random(1)),
+    peers,
+    watcher: noWatchers(peers),
     clock: () => performance.now(),
     applyWithinMs: APPLY_WITHIN_MS,
     onConfirmed: () => undefined,
--- a/packages/gateway/src/operators/configuration_task.ts
+++ b/packages/gateway/src/operators/configuration_task.ts
@@ -1,11 +1,16 @@
-import {Task, sleep} from '@pistachiorill/tasks';
-import type {Clock} from '@pistachiorill/tasks';
+import {decideFollow} from '@pistachiorill/core';
+import {Task, settled, sleep} from '@pistachiorill/tasks';
+import type {Clock, Reply} from '@pistachiorill/tasks';
 import type {Logger} from '@pistachiorill/telemetry';
 import type {
   ConfigurationSource,
   OperatorState,
 } from '../ports/configuration_source.js';
+import type {RelayedConfiguration} from '../peers/gateway_handlers.js';
+import type {ConfigurationRequest} from '../peers/gateway_router.js';
 import type {PeerSet} from '../peers/peer_set.js';
+import {WaitingReplies} from '../peers/waiting_replies.js';
+import type {WatcherChoice} from '../peers/watcher_choice.js';
 
 /**
  * Reserved within the time to apply a change: to notice that a watch is overdue,
@@ -14,6 +19,19 @@
 const WATCH_RECOVERY_MS = 2_100;
 /** Limits the calls to the store if changes must apply very soon. */
 const MIN_WATCH_MS = 500;
+/**
+ * The further time that a VM needs that follows a watcher: it reads the store a
+ * second time if its own connection has gone silent as well.
+ */
+const FOLLOWER_RECOVERY_MS = 1_200;
+/** How much sooner a watcher's confirmation arrives than it is too old. */
+const FOLLOWER_MARGIN_MS = 700;
+/** Each VM watches the store itself if less time is left to hold a request. */
+const MIN_FOLLOWED_WATCH_MS = 500;
+/** A follower reads a longer state from the store, to spare watchers' links. */
+const MAX_RELAYED_LENGTH = 65_536;
+/** The pause after a watcher did not answer. */
+const WATCHER_RETRY_MS = 150;
 const FIRST_RETRY_MS = 200;
 const MAX_RETRY_MS = 1_000;
 const PEER_TIMEOUT_MS = 500;
@@ -28,12 +46,22 @@
       readonly state: OperatorState;
       readonly from: 'store' | 'peer';
     }
+  /** The store confirmed through a watcher that the state was the newest. */
+  | {readonly kind: 'confirmed'; readonly at: number}
+  /** A peer asks for this VM's state. */
+  | {
+      readonly kind: 'relay';
+      readonly request: ConfigurationRequest;
+      readonly reply: Reply<RelayedConfiguration | undefined>;
+    }
   | {readonly kind: 'stop'};
 
 /** Collaborators of the configuration task. */
 export interface ConfigurationDependencies {
   readonly source: ConfigurationSource;
   readonly peers: PeerSet;
+  /** The watcher that this VM follows, if it does not watch the store itself. */
+  readonly watcher: WatcherChoice;
   readonly clock: Clock;
   /** The time within which a change must be in force on this VM. */
   readonly applyWithinMs: number;
@@ -52,9 +80,11 @@
 export class ConfigurationTask extends Task<ConfigurationMessage> {
   private current: OperatorState | undefined;
   private phase: 'running' | 'stopped' = 'running';
-  private storeState: 'answering' | 'failing' = 'answering';
+  private storeFailures = 0;
+  private askedStoreAt = -Infinity;
   /** When the store last confirmed which state is the newest. */
   private confirmedAt: number | undefined;
+  private readonly waitingPeers = new WaitingReplies();
 
   constructor(private readonly deps: ConfigurationDependencies) {
     super();
@@ -69,8 +99,15 @@
         this.applyIfNewer(message.state, message.from);
         if (message.from === 'store') this.confirm(this.deps.clock());
         return;
+      case 'confirmed':
+        this.confirm(message.at);
+        return;
+      case 'relay':
+        this.relay(message.request, message.reply, this.deps.clock());
+        return;
       case 'stop':
         this.phase = 'stopped';
+        this.waitingPeers.release();
         return;
     }
   }
@@ -84,14 +121,17 @@
    * answer.
    */
   private async follow(): Promise<void> {
-    const {source, clock, applyWithinMs} = this.deps;
-    const watchMs = Math.max(MIN_WATCH_MS, applyWithinMs - WATCH_RECOVERY_MS);
+    const {source, clock} = this.deps;
     let retryMs = FIRST_RETRY_MS;
     let next: 'read' | 'watch' = 'read';
     let history: 'kept' | 'lost' = 'kept';
     while (this.phase === 'running') {
-      const asked = next;
+      const follow = await this.followWatcher();
+      if (follow === 'followed') continue;
+      const asked = follow === 'ask-store' ? 'read' : next;
+      const watchMs = this.watchMs();
       const askedAt = clock();
+      this.askedStoreAt = askedAt;
       const result =
         asked === 'read' ? await source.read() : await source.next(watchMs);
       if (result.ok) {
@@ -123,8 +163,8 @@
   }
 
   private recordStoreAnswer(): void {
-    if (this.storeState === 'answering') return;
-    this.storeState = 'answering';
+    if (this.storeFailures === 0) return;
+    this.storeFailures = 0;
     this.deps.log.info(
       {event: 'configuration.store-answers'},
       'the configuration store answers again',
@@ -144,8 +184,7 @@
 
   private recordStoreFailure(detail: string, now: number): void {
     this.deps.onStoreFailure('configuration');
-    if (this.storeState === 'failing') return;
-    this.storeState = 'failing';
+    if (this.storeFailures++ > 0) return;
     this.deps.log.warn(
       {
         event: 'configuration.store-fails',
@@ -156,27 +195,127 @@
     );
   }
 
+  /** How long the store may hold the request of a VM that watches it. */
+  private watchMs(): number {
+    const ownWatchMs = this.deps.applyWithinMs - WATCH_RECOVERY_MS;
+    return this.deps.watcher.isFleetWatched() && this.mayFollow()
+      ? this.followedWatchMs()
+      : Math.max(MIN_WATCH_MS, ownWatchMs);
+  }
+
+  private followedWatchMs(): number {
+    const recoveryMs = WATCH_RECOVERY_MS + FOLLOWER_RECOVERY_MS;
+    return this.deps.applyWithinMs - recoveryMs - FOLLOWER_MARGIN_MS;
+  }
+
+  /** Whether changes that arrive through a watcher are in force in time. */
+  private mayFollow(): boolean {
+    return this.followedWatchMs() >= MIN_FOLLOWED_WATCH_MS;
+  }
+
+  /**
+   * Receives changes through a watcher. Returns `watch-store` if this VM watches
+   * the store itself, and `ask-store` if it has to read the state once.
+   */
+  private async followWatcher(): Promise<
+    'followed' | 'ask-store' | 'watch-store'
+  > {
+    const {watcher, clock} = this.deps;
+    const isFollower = this.current !== undefined && this.mayFollow();
+    const name = isFollower ? watcher.next() : undefined;
+    if (name === undefined) return 'watch-store';
+    const decision = decideFollow(
+      {
+        confirmedAt: this.confirmedAt ?? -Infinity,
+        maxAgeMs: this.watchMs() + FOLLOWER_MARGIN_MS,
+        askedStoreAt: this.askedStoreAt,
+        storeFailures: this.storeFailures,
+      },
+      clock(),
+    );
+    if (decision.kind === 'ask-store') return 'ask-store';
+    const outcome = await this.askPeer(
+      name,
+      decision.waitMs,
+      MAX_RELAYED_LENGTH,
+    );
+    if (outcome === 'no-answer') {
+      watcher.failed(name);
+      await sleep(WATCHER_RETRY_MS);
+    }
+    return outcome === 'too-long' ? 'ask-store' : 'followed';
+  }
+
   /** Asks peers for a state that is newer than the current one. */
   private async askPeers(): Promise<void> {
-    const {peers, source} = this.deps;
-    const revision = this.current?.revision ?? 0;
-    await Promise.all(
-      peers.sample(PEER_COUNT, undefined).map(async peer => {
-        const answer = await peers.configuration(
-          peer,
-          revision,
-          PEER_TIMEOUT_MS,
-        );
-        if (!answer.ok || !answer.value) return;
-        const state = source.decode(answer.value.encoded);
-        if (state) this.tell({kind: 'received', state, from: 'peer'});
-      }),
+    const names = this.deps.peers.sample(PEER_COUNT, undefined);
+    await Promise.all(names.map(peer => this.askPeer(peer, 0)));
+  }
+
+  /**
+   * Asks a peer for a newer state; it may hold its answer. One that is longer
+   * than `maxLength` is announced but not sent.
+   */
+  private async askPeer(
+    peer: string,
+    waitMs: number,
+    maxLength?: number,
+  ): Promise<'answered' | 'too-long' | 'no-answer'> {
+    const {peers, source, clock} = this.deps;
+    const newerThan = this.current?.revision ?? 0;
+    const sentAt = clock();
+    const answer = await peers.configuration(
+      peer,
+      {newerThan, waitMs, ...(maxLength === undefined ? {} : {maxLength})},
+      waitMs + PEER_TIMEOUT_MS,
     );
+    if (!answer.ok || !answer.value) return 'no-answer';
+    const {encoded, revision, confirmedAgoMs, heldMs} = answer.value;
+    if (encoded !== undefined) {
+      const state = source.decode(encoded);
+      if (!state) return 'no-answer';
+      this.tell({kind: 'received', state, from: 'peer'});
+    } else if (revision > newerThan) {
+      return 'too-long';
+    }
+    this.tell({kind: 'confirmed', at: sentAt + heldMs - confirmedAgoMs});
+    await settled();
+    return 'answered';
+  }
+
+  /** Answers a peer once there is a newer state or a newer confirmation. */
+  private relay(
+    {newerThan, waitMs, maxLength = Infinity}: ConfigurationRequest,
+    reply: Reply<RelayedConfiguration | undefined>,
+    receivedAt: number,
+  ): void {
+    const answer = (): void => {
+      const now = this.deps.clock();
+      const {current, confirmedAt} = this;
+      if (!current || confirmedAt === undefined) {
+        reply.answer(undefined);
+        return;
+      }
+      const {revision, encoded} = current;
+      const isSent = revision > newerThan && encoded.length <= maxLength;
+      reply.answer({
+        revision,
+        encoded: isSent ? encoded : undefined,
+        confirmedAgoMs: now - confirmedAt,
+        heldMs: now - receivedAt,
+      });
+    };
+    const isNewer = (this.current?.revision ?? 0) > newerThan;
+    const isHeld = !isNewer && waitMs > 0 && this.phase === 'running';
+    if (isHeld) this.waitingPeers.add(answer, waitMs);
+    else answer();
   }
 
-  private confirm(now: number): void {
-    this.confirmedAt = now;
+  private confirm(at: number): void {
+    if (this.confirmedAt !== undefined && at <= this.confirmedAt) return;
+    this.confirmedAt = at;
     this.deps.onConfirmed();
+    this.waitingPeers.release();
   }
 
   /** The time since the store confirmed the state; undefined if it never did. */
--- a/packages/gateway/src/peers/gateway_handlers.ts
+++ b/packages/gateway/src/peers/gateway_handlers.ts
@@ -1,11 +1,17 @@
 import type {LogPosition, PrimaryObservation} from '@pistachiorill/core';
-import type {RelayedRows} from '../fleet/fleet_message.js';
+import type {RelayRequest, RelayedRows} from '../fleet/relayed_rows.js';
 import type {RelayedMembers} from '../operators/directory_task.js';
-import type {StopRequest} from './gateway_router.js';
+import type {ConfigurationRequest, StopRequest} from './gateway_router.js';
 
-/** The operators' state, encoded as in the store. */
+/** A VM's newest state from the operators, as it is sent to a peer. */
 export interface RelayedConfiguration {
-  readonly encoded: string;
+  readonly revision: number;
+  /** The state as in the store, if it is newer and not longer than asked for. */
+  readonly encoded?: string | undefined;
+  /** How long ago the store confirmed that the state is the newest. */
+  readonly confirmedAgoMs: number;
+  /** How long the answer was held. */
+  readonly heldMs: number;
 }
 
 /** Handles the remote procedures that peers call on this VM. */
@@ -21,10 +27,12 @@
   abstract sight(group: string): Promise<PrimaryObservation>;
   /** Makes this VM, as the coordinator, evaluate a group's primary. */
   abstract suspect(group: string): void;
-  /** Returns this VM's copy of the shared rows, if it has one. */
-  abstract relay(): Promise<RelayedRows | null>;
-  /** Returns the operators' state if its revision is above `newerThan`. */
-  abstract configuration(newerThan: number): RelayedConfiguration | null;
+  /** Returns changes of this VM's copy of the shared rows, if it has one. */
+  abstract relay(req: RelayRequest): Promise<RelayedRows | null>;
+  /** Returns the operators' state, if this VM has one. */
+  abstract configuration(
+    req: ConfigurationRequest,
+  ): Promise<RelayedConfiguration | null>;
   /** Returns this VM's list of members, if it has one. */
   abstract directory(): Promise<RelayedMembers | null>;
   /** Returns the number of tokens that this VM transfers to the caller. */
--- a/packages/gateway/src/peers/gateway_router.ts
+++ b/packages/gateway/src/peers/gateway_router.ts
@@ -24,6 +24,30 @@
  */
 export type StopRequest = z.infer<typeof STOP_SCHEMA>;
 
+/** The longest time for which an answer may be held. */
+const MAX_HOLD_MS = 10_000;
+const HOLD_MS = z.number().min(0).max(MAX_HOLD_MS);
+
+const RELAY_SCHEMA = z.object({
+  after: z.number(),
+  provenTo: z.number(),
+  waitMs: HOLD_MS,
+});
+
+const CONFIGURATION_SCHEMA = z.object({
+  /** The revision of the caller's state. */
+  newerThan: z.number(),
+  waitMs: HOLD_MS,
+  /** A longer state is not sent, as the caller can read it from the store. */
+  maxLength: z.number().optional(),
+});
+
+/**
+ * Asks a VM for a state that is newer than a revision. The answer may be held
+ * for `waitMs` until there is one, or until the store confirms the old one.
+ */
+export type ConfigurationRequest = z.infer<typeof CONFIGURATION_SCHEMA>;
+
 /** The remote procedures that VMs call on each other. */
 export const GATEWAY_ROUTER = t.router({
   /** Answers at once, which shows that the VM is alive. */
@@ -40,12 +64,14 @@
   suspect: t.procedure
     .input(GROUP)
     .mutation(({ctx, input}) => ctx.handlers.suspect(input.group)),
-  /** Returns the VM's copy of the shared rows, and as of when. */
-  relay: t.procedure.mutation(({ctx}) => ctx.handlers.relay()),
-  /** Returns the VM's newest state from the operators, if it is newer. */
+  /** Returns changes of the VM's copy of the shared rows, and as of when. */
+  relay: t.procedure
+    .input(RELAY_SCHEMA)
+    .mutation(({ctx, input}) => ctx.handlers.relay(input)),
+  /** Returns the VM's newest state from the operators. */
   configuration: t.procedure
-    .input(z.object({newerThan: z.number()}))
-    .mutation(({ctx, input}) => ctx.handlers.configuration(input.newerThan)),
+    .input(CONFIGURATION_SCHEMA)
+    .mutation(({ctx, input}) => ctx.handlers.configuration(input)),
   /** Returns the VM's list of members and its age. */
   directory: t.procedure.mutation(({ctx}) => ctx.handlers.directory()),
   /** Transfers tokens of a workspace to the caller. */
--- a/packages/gateway/src/peers/peer_set.ts
+++ b/packages/gateway/src/peers/peer_set.ts
@@ -10,10 +10,14 @@
 import type {PeerError} from '@pistachiorill/peers';
 import {createTRPCClient} from '@trpc/client';
 import type {TRPCClient} from '@trpc/client';
-import type {RelayedRows} from '../fleet/fleet_message.js';
+import type {RelayRequest, RelayedRows} from '../fleet/relayed_rows.js';
 import type {RelayedMembers} from '../operators/directory_task.js';
 import type {RelayedConfiguration} from './gateway_handlers.js';
-import type {GatewayRouter, StopRequest} from './gateway_router.js';
+import type {
+  ConfigurationRequest,
+  GatewayRouter,
+  StopRequest,
+} from './gateway_router.js';
 
 /** The address where a VM listens for its peers. */
 export interface PeerAddress {
@@ -121,20 +125,22 @@
     return this.call(vm, timeoutMs, (c, o) => c.ping.mutate(undefined, o));
   }
 
-  /** Asks a VM for its copy of the shared rows. */
-  relay(vm: string, timeoutMs: number): Answer<RelayedRows | null> {
-    return this.call(vm, timeoutMs, (c, o) => c.relay.mutate(undefined, o));
+  /** Asks a VM for changes of the shared rows. */
+  relay(
+    vm: string,
+    req: RelayRequest,
+    timeoutMs: number,
+  ): Answer<RelayedRows | null> {
+    return this.call(vm, timeoutMs, (c, o) => c.relay.mutate(req, o));
   }
 
   /** Asks a VM for a state of the operators that is newer than a revision. */
   configuration(
     vm: string,
-    newerThan: number,
+    req: ConfigurationRequest,
     timeoutMs: number,
   ): Answer<RelayedConfiguration | null> {
-    return this.call(vm, timeoutMs, (c, o) =>
-      c.configuration.mutate({newerThan}, o),
-    );
+    return this.call(vm, timeoutMs, (c, o) => c.configuration.mutate(req, o));
   }
 
   /** Asks a VM for its list of members. */
--- /dev/null
+++ b/packages/gateway/src/peers/watcher_choice.ts
@@ -0,0 +1,51 @@
+import {selectWatchers} from '@pistachiorill/core';
+import type {PeerSet} from './peer_set.js';
+
+/** What the choice of a watcher depends on. */
+export interface WatcherChoiceDependencies {
+  readonly vm: string;
+  readonly dataCentre: string;
+  /** The registered VMs and their data centres. */
+  readonly dataCentreByVm: () => ReadonlyMap<string, string>;
+  readonly peers: PeerSet;
+}
+
+/** Chooses the watcher that this VM follows: a VM that watches the store. */
+export class WatcherChoice {
+  private current: string | undefined;
+  private silent: string | undefined;
+
+  constructor(private readonly deps: WatcherChoiceDependencies) {}
+
+  /**
+   * Returns the watcher to follow; none if this VM watches the store itself. A
+   * VM that is not registered does, as only its own registration shows that its
+   * copy is not from an older state of the store.
+   */
+  next(): string | undefined {
+    const {vm, peers} = this.deps;
+    const watchers = this.watchers();
+    if (watchers.length === 0 || watchers.includes(vm)) return undefined;
+    const others = watchers.filter(name => name !== this.silent);
+    const candidates = others.length > 0 ? others : watchers;
+    [this.current] = peers.sample(1, this.current, candidates);
+    return this.current;
+  }
+
+  /** Whether some VMs watch the store for the others of the data centre. */
+  isFleetWatched(): boolean {
+    return this.watchers().length > 0;
+  }
+
+  private watchers(): readonly string[] {
+    const {vm, dataCentre, dataCentreByVm} = this.deps;
+    const vms = dataCentreByVm();
+    return vms.has(vm) ? selectWatchers(vms, dataCentre) : [];
+  }
+
+  /** Records that a watcher did not answer, so that another one is tried. */
+  failed(watcher: string): void {
+    this.silent = watcher;
+    this.current = undefined;
+  }
+}
--- a/packages/store/src/__tests__/table_copy.test.ts
+++ b/packages/store/src/__tests__/table_copy.test.ts
@@ -1,3 +1,4 @@
+import {Random} from '@pistachiorill/core';
 import {describe, expect, it} from 'vitest';
 import {TableCopy} from '../table_copy.js';
 import type {TableRow} from '../transactional_store.js';
@@ -68,4 +69,36 @@
     const rows = copy.values().map(item => item.value);
     expect({outcomes, rows, version: copy.version}).toMatchSnapshot();
   });
+
+  // Guards against a row that a follower misses or keeps, because it receives
+  // only what changed after its own version.
+  it('is the same for a follower that receives its changes', () => {
+    for (let seed = 1; seed <= 200; seed++) {
+      const random = new Random(seed);
+      const leader = new TableCopy();
+      const follower = new TableCopy();
+      let version = 1;
+      for (let step = 0; step < 60; step++) {
+        const key = `row-${Math.floor(random.fraction() * 5)}`;
+        const kind = random.fraction();
+        version += 1 + Math.floor(random.fraction() * 3);
+        if (kind < 0.05) leader.replace({version, rows: [row(key, version)]});
+        else if (kind < 0.4) leader.update({version, rows: [], removed: [key]});
+        else leader.update({version, rows: [row(key, version)], removed: []});
+        if (random.fraction() < 0.5) continue;
+        const {after, ...changes} = leader.changesAfter(follower.version);
+        if (after === 0) follower.replace(changes);
+        else follower.update(changes);
+        const sorted = (copy: TableCopy): string[] =>
+          copy
+            .values()
+            .map(item => item.value)
+            .sort();
+        expect({seed, rows: sorted(follower)}).toEqual({
+          seed,
+          rows: sorted(leader),
+        });
+      }
+    }
+  });
 });
--- a/packages/store/src/index.ts
+++ b/packages/store/src/index.ts
@@ -11,7 +11,7 @@
 export type {PromotionDependencies} from './promotion/promote_document.js';
 export {VmReports} from './promotion/vm_reports.js';
 export {TableCopy, describeStaleAnswer} from './table_copy.js';
-export type {CopyUpdate} from './table_copy.js';
+export type {CopyUpdate, TableChanges} from './table_copy.js';
 export {TableService} from './table_service.js';
 export type {Row} from './table_service.js';
 export {VmList} from './vm_list.js';
--- a/packages/store/src/table_copy.ts
+++ b/packages/store/src/table_copy.ts
@@ -3,6 +3,14 @@
 /** Whether an answer was applied, or is older than the copy. */
 export type CopyUpdate = 'applied' | 'stale';
 
+/** The rows that changed after a version, or all rows if `after` is 0. */
+export interface TableChanges extends TableAnswer {
+  readonly after: number;
+}
+
+/** Older removals are forgotten beyond this many. */
+const MAX_KNOWN_REMOVALS = 1_000;
+
 type TableAnswer = Pick<TableReadResult, 'rows' | 'removed' | 'version'>;
 
 /**
@@ -13,6 +21,10 @@
 export class TableCopy {
   private readonly rows = new Map<string, TableRow>();
   private currentVersion = 0;
+  /** By key, a version at which the row was gone already. */
+  private readonly removals = new Map<string, number>();
+  /** All removals after this version are known. */
+  private removalsKnownSince = 0;
 
   /** The version as of which the copy is complete. */
   get version(): number {
@@ -29,6 +41,18 @@
     return this.rows.get(key);
   }
 
+  /** Returns what changed after a version of the copy; all rows if unknown. */
+  changesAfter(after: number): TableChanges {
+    const version = this.currentVersion;
+    const isKnown = after >= this.removalsKnownSince && after <= version;
+    if (!isKnown) return {rows: this.values(), removed: [], version, after: 0};
+    const rows = this.values().filter(row => row.version > after);
+    const removed = [...this.removals]
+      .filter(([, removedBy]) => removedBy > after)
+      .map(([key]) => key);
+    return {rows, removed, version, after};
+  }
+
   /** Replaces the rows by those of a full read; rows that are newer stay. */
   replace(read: Omit<TableAnswer, 'removed'>): CopyUpdate {
     if (this.isStale(read)) return 'stale';
@@ -37,6 +61,7 @@
     }
     for (const row of read.rows) this.put(row);
     this.currentVersion = read.version;
+    this.forgetRemovals();
     return 'applied';
   }
 
@@ -46,9 +71,12 @@
     for (const row of rows) this.put(row);
     for (const key of removed) {
       const known = this.rows.get(key);
-      if (known && known.version <= version) this.rows.delete(key);
+      if (known && known.version > version) continue;
+      this.rows.delete(key);
+      this.removals.set(key, version);
     }
     this.currentVersion = version;
+    if (this.removals.size > MAX_KNOWN_REMOVALS) this.forgetRemovals();
     return 'applied';
   }
 
@@ -57,6 +85,7 @@
     const known = this.rows.get(row.key);
     if (known && known.version >= row.version) return;
     this.rows.set(row.key, row);
+    this.removals.delete(row.key);
   }
 
   /** Removes a row that this process removed from the table. */
@@ -64,6 +93,11 @@
     this.rows.delete(key);
   }
 
+  private forgetRemovals(): void {
+    this.removals.clear();
+    this.removalsKnownSince = this.currentVersion;
+  }
+
   /**
    * Whether a full read is older than the copy. Its rows are compared too, as a
    * replica of the store may report the version of another one.
--- a/packages/tasks/src/index.ts
+++ b/packages/tasks/src/index.ts
@@ -3,5 +3,6 @@
 export type {Clock} from './pipeline.js';
 export {ask} from './reply.js';
 export type {Reply} from './reply.js';
+export {settled} from './settled.js';
 export {sleep} from './sleep.js';
 export {Task} from './task.js';
