Find the VM that divides the rates by groups of pings, and shorten rank delays

Cause: every VM pinged the VM whose name sorts first, every 2 s: 97 calls a second to one VM at 195. With the data centre away whose names sort first, the others pinged 40 VMs one after the other, 400 ms each, before a loss was recorded. A VM that found a primary unreachable waited 120 ms for each of up to 194 VMs that rank before it, most of which had not noticed.

Change: the VMs are ordered by rendezvous hash; the first is pinged, then groups of eight at once; VMs behind the first eight check one of these every 6 s. A VM is presumed dead only after a series of unanswered pings, as a VM that takes over has not pinged the others before. The rank delay grows with the logarithm of the rank from the eighth on.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -13,6 +13,7 @@
 export {proofProbeTargets} from './authority/proof_probe_targets.js';
 export {Filter} from './common/filter.js';
 export {Random} from './common/random.js';
+export {rankDelayMs} from './common/rank_delay.js';
 export {rendezvousOrder} from './common/rendezvous.js';
 export {selectRepresentatives} from './common/representatives.js';
 export {fail, ok} from './common/result.js';
--- a/packages/gateway/src/fleet/share_allocator.ts
+++ b/packages/gateway/src/fleet/share_allocator.ts
@@ -5,6 +5,7 @@
   earliestStoreTime,
   mayHoldPrimaryLease,
   nextShares,
+  rendezvousOrder,
 } from '@pistachiorill/core';
 import type {Result} from '@pistachiorill/core';
 import type {
@@ -26,13 +27,24 @@
  * not certain yet.
  */
 const UNSETTLED_ALLOCATION_INTERVAL_MS = 500;
+/** The interval of a VM that divides the rates only if no candidate answers. */
+const STANDBY_ALLOCATION_INTERVAL_MS = 6_000;
 const PING_TIMEOUT_MS = 400;
+/** Key by which the VMs are ordered. */
+const ORDER_KEY = 'shares';
+/**
+ * The number of VMs that come first in the order. Those behind them only check
+ * that one of them answers.
+ */
+const CANDIDATE_COUNT = 8;
 /**
  * A VM that has not answered for this long is presumed dead. The sooner this
  * is recorded, the sooner a primary change no longer waits for it; a VM that is
  * alive registers again.
  */
 const PRESUMED_DEAD_AFTER_MS = 4_000;
+/** A VM that was not pinged for longer may have answered meanwhile. */
+const MAX_PING_GAP_MS = 5_000;
 /** VMs start together, so the first table waits until all have registered. */
 const FIRST_TABLE_DELAY_MS = 1_500;
 
@@ -49,20 +61,28 @@
   readonly onFailed: (err: unknown) => void;
 }
 
+/** Pings in a row to a VM that got no answer. */
+interface Silence {
+  readonly firstPingAt: number;
+  readonly lastPingAt: number;
+}
+
 /** `keep` divides the rates now and schedules the next run. */
 export type ShareAllocatorMessage =
   {readonly kind: 'keep'} | {readonly kind: 'stop'};
 
 /**
- * Divides the rates among the VMs. Only the VM whose name sorts first among
- * those that answer does so. A second VM that does the same at the same time is
+ * Divides the rates among the VMs. Only the VM that comes first in a fixed order
+ * among those that answer does so. A second VM that does the same at the same time is
  * harmless, because each write depends on the version of the row.
  */
 export class ShareAllocator extends Task<ShareAllocatorMessage> {
   private timer: NodeJS.Timeout | undefined;
-  private readonly answeredAt = new Map<string, number>();
+  /** The VMs that did not answer their last pings. */
+  private readonly silences = new Map<string, Silence>();
   private joinedSince: number | undefined;
   private phase: 'running' | 'stopped' = 'running';
+  private role: 'candidate' | 'standby' = 'candidate';
 
   constructor(private readonly deps: ShareAllocatorDependencies) {
     super();
@@ -80,9 +100,11 @@
     await this.keep();
     const shares = this.deps.view().rows.shares?.value;
     const isSettled = shares && !hasUnconfirmedRevocation(shares);
-    const wait = isSettled
-      ? ALLOCATION_INTERVAL_MS
-      : UNSETTLED_ALLOCATION_INTERVAL_MS;
+    const wait = !isSettled
+      ? UNSETTLED_ALLOCATION_INTERVAL_MS
+      : this.role === 'candidate'
+        ? ALLOCATION_INTERVAL_MS
+        : STANDBY_ALLOCATION_INTERVAL_MS;
     this.timer = setTimeout(() => this.tell({kind: 'keep'}), wait);
   }
 
@@ -103,7 +125,7 @@
     if (!isRegistered) return;
     this.joinedSince ??= now;
     const names = [...rows.vms.keys()].sort();
-    if (!(await this.isFirstAlive(names))) return;
+    if (!(await this.isFirstAnswering(names))) return;
     if (!rows.shares) {
       if (now - this.joinedSince < FIRST_TABLE_DELAY_MS) return;
       await this.write(initialShares(names), 0, []);
@@ -127,34 +149,52 @@
     await this.write(next, rows.shares.version, expired);
   }
 
-  /** Whether no VM with an earlier name answers. */
-  private async isFirstAlive(names: readonly string[]): Promise<boolean> {
-    for (const name of names) {
-      if (name === this.deps.vm) return true;
-      if (await this.ping(name)) return false;
+  /** Whether no VM that comes earlier in the order answers. */
+  private async isFirstAnswering(names: readonly string[]): Promise<boolean> {
+    const order = rendezvousOrder(ORDER_KEY, names);
+    const earlier = order.slice(0, order.indexOf(this.deps.vm));
+    this.role = earlier.length < CANDIDATE_COUNT ? 'candidate' : 'standby';
+    const candidates = earlier.slice(0, CANDIDATE_COUNT);
+    const [first] =
+      this.role === 'candidate'
+        ? candidates
+        : this.deps.peers.sample(1, undefined, candidates);
+    if (first !== undefined && (await this.ping(first))) return false;
+    const rest = earlier.filter(name => name !== first);
+    // Several at once: a whole data centre may not answer.
+    for (let i = 0; i < rest.length; i += CANDIDATE_COUNT) {
+      const group = rest.slice(i, i + CANDIDATE_COUNT);
+      if ((await this.pingAll(group)).includes(true)) return false;
     }
+    this.role = 'candidate';
     return true;
   }
 
-  private async pingAll(names: readonly string[]): Promise<void> {
+  private pingAll(names: readonly string[]): Promise<readonly boolean[]> {
     const others = names.filter(name => name !== this.deps.vm);
-    await Promise.all(others.map(name => this.ping(name)));
+    return Promise.all(others.map(name => this.ping(name)));
   }
 
   private async ping(name: string): Promise<boolean> {
     const now = this.deps.clock();
-    if (!this.answeredAt.has(name)) this.answeredAt.set(name, now);
     const answer = await this.deps.peers.ping(name, PING_TIMEOUT_MS);
-    if (answer.ok) this.answeredAt.set(name, this.deps.clock());
-    return answer.ok;
+    if (answer.ok) {
+      this.silences.delete(name);
+      return true;
+    }
+    const before = this.silences.get(name);
+    const isInSeries = before && now - before.lastPingAt < MAX_PING_GAP_MS;
+    const firstPingAt = isInSeries ? before.firstPingAt : now;
+    this.silences.set(name, {firstPingAt, lastPingAt: now});
+    return false;
   }
 
   private isPresumedDead(name: string): boolean {
     if (name === this.deps.vm) return false;
-    const answered = this.answeredAt.get(name);
+    const silence = this.silences.get(name);
     return (
-      answered !== undefined &&
-      this.deps.clock() - answered > PRESUMED_DEAD_AFTER_MS
+      silence !== undefined &&
+      this.deps.clock() - silence.firstPingAt > PRESUMED_DEAD_AFTER_MS
     );
   }
 
--- a/packages/gateway/src/leadership/leadership_task.ts
+++ b/packages/gateway/src/leadership/leadership_task.ts
@@ -5,6 +5,7 @@
   evaluateSuspicion,
   latestStoreTime,
   mayHoldPrimaryLease,
+  rankDelayMs,
   rendezvousOrder,
 } from '@pistachiorill/core';
 import type {
@@ -26,8 +27,6 @@
 
 /** How often all groups are checked for a needed primary change. */
 const REVIEW_INTERVAL_MS = 250;
-/** Delay per rank. The VMs are ranked by group, so that one VM acts first. */
-const RANK_DELAY_MS = 120;
 /** Leaves a peer time to try to reach the primary before it answers. */
 const OBSERVATION_TIMEOUT_MS = 800;
 /** First pause between evaluations of a primary; doubles up to the maximum. */
@@ -221,7 +220,7 @@
       name => name === vm || !peers.isUnresponsive(name),
     );
     const rank = rendezvousOrder(group, names).indexOf(vm);
-    return Math.max(0, rank) * RANK_DELAY_MS;
+    return rankDelayMs(rank);
   }
 
   private handleSuspicion(group: string, primary: string, since: number): void {
