Read the first configuration after the registration of the process

Cause: a process that has just started has no state to compare its first read with.

Change: the first read follows the registration of the process and is rejected if it is older than it. A VM that cannot register for 1.5 s reads without the proof, as before.

--- a/packages/gateway/src/daemon/gateway_daemon.ts
+++ b/packages/gateway/src/daemon/gateway_daemon.ts
@@ -98,6 +98,7 @@
       this.metrics.storeFailed(call);
     };
     const {name: vm, data_centre: dataCentre} = settings.vm;
+    const incarnation = randomUUID();
     const newWatcherChoice = (): WatcherChoice =>
       new WatcherChoice({
         vm,
@@ -107,11 +108,7 @@
       });
     this.fleet = new FleetTask({
       vm,
-      entry: {
-        peers: settings.listen.peers,
-        dataCentre,
-        incarnation: randomUUID(),
-      },
+      entry: {peers: settings.listen.peers, dataCentre, incarnation},
       store: this.ports.store,
       peers,
       watcher: newWatcherChoice(),
@@ -187,6 +184,10 @@
     });
     this.configuration = new ConfigurationTask({
       source: this.ports.source,
+      registeredAt: () => {
+        const own = this.currentView().rows.vms.get(vm);
+        return own?.value.incarnation === incarnation ? own.version : undefined;
+      },
       peers,
       watcher: newWatcherChoice(),
       clock,
--- a/packages/gateway/src/operators/__tests__/configuration_task.test.ts
+++ b/packages/gateway/src/operators/__tests__/configuration_task.test.ts
@@ -86,6 +86,7 @@
   onFailed: (err: unknown) => void = err => {
     throw err;
   },
+  registeredAt: () => number | undefined = () => 1,
 ) {
   const source = new FakeSource();
   const applied: number[] = [];
@@ -94,6 +95,7 @@
     source,
     peers,
     watcher: noWatchers(peers),
+    registeredAt,
     clock: () => performance.now(),
     applyWithinMs: APPLY_WITHIN_MS,
     onConfirmed: () => undefined,
@@ -118,6 +120,28 @@
     expect(applied).toMatchSnapshot();
   });
 
+  // Guards against a withdrawn key that is accepted by a process that has just
+  // started, because its first read is from an older state of the store.
+  it('rejects a first state that is older than its registration', async () => {
+    const {source, applied} = start(undefined, () => 3);
+    await vi.advanceTimersByTimeAsync(1_000);
+    const before = [...applied];
+    source.write();
+    source.write();
+    await vi.advanceTimersByTimeAsync(2_000);
+    expect({before, after: applied}).toMatchSnapshot();
+  });
+
+  // Guards against a VM that never reads the configuration, because it cannot
+  // register.
+  it('reads the state without a registration after a wait', async () => {
+    const {applied} = start(undefined, () => undefined);
+    await vi.advanceTimersByTimeAsync(1_000);
+    const before = [...applied];
+    await vi.advanceTimersByTimeAsync(1_000);
+    expect({before, after: applied}).toMatchSnapshot();
+  });
+
   // Guards against calls without a pause, because the store answers reads but no
   // watch.
   it.each(['rejected', 'history-lost'] as const)(
--- a/packages/gateway/src/operators/__tests__/follow_configuration.test.ts
+++ b/packages/gateway/src/operators/__tests__/follow_configuration.test.ts
@@ -96,6 +96,7 @@
       source,
       peers,
       watcher: fleet.watcherOf(vm, peers),
+      registeredAt: () => 1,
       clock: () => performance.now(),
       applyWithinMs,
       onConfirmed: () => undefined,
--- a/packages/gateway/src/operators/configuration_task.ts
+++ b/packages/gateway/src/operators/configuration_task.ts
@@ -1,4 +1,6 @@
-import {decideFollow} from '@pistachiorill/core';
+import {decideFollow, fail} from '@pistachiorill/core';
+import type {Result} from '@pistachiorill/core';
+import type {StoreReadError} from '@pistachiorill/store';
 import {Task, settled, sleep} from '@pistachiorill/tasks';
 import type {Clock, Reply} from '@pistachiorill/tasks';
 import type {Logger} from '@pistachiorill/telemetry';
@@ -32,6 +34,9 @@
 const MAX_RELAYED_LENGTH = 65_536;
 /** The pause after a watcher did not answer. */
 const WATCHER_RETRY_MS = 150;
+/** The state is read without a proof if the registration takes longer. */
+const REGISTRATION_WAIT_MS = 1_500;
+const REGISTRATION_CHECK_MS = 20;
 const FIRST_RETRY_MS = 200;
 const MAX_RETRY_MS = 1_000;
 const PEER_TIMEOUT_MS = 500;
@@ -62,6 +67,8 @@
   readonly peers: PeerSet;
   /** The watcher that this VM follows, if it does not watch the store itself. */
   readonly watcher: WatcherChoice;
+  /** The store's version of this process's registration, once it is known. */
+  readonly registeredAt: () => number | undefined;
   readonly clock: Clock;
   /** The time within which a change must be in force on this VM. */
   readonly applyWithinMs: number;
@@ -125,6 +132,7 @@
     let retryMs = FIRST_RETRY_MS;
     let next: 'read' | 'watch' = 'read';
     let history: 'kept' | 'lost' = 'kept';
+    await this.waitForRegistration();
     while (this.phase === 'running') {
       const follow = await this.followWatcher();
       if (follow === 'followed') continue;
@@ -132,8 +140,9 @@
       const watchMs = this.watchMs();
       const askedAt = clock();
       this.askedStoreAt = askedAt;
-      const result =
-        asked === 'read' ? await source.read() : await source.next(watchMs);
+      const result = this.rejectOlder(
+        asked === 'read' ? await source.read() : await source.next(watchMs),
+      );
       if (result.ok) {
         this.recordStoreAnswer();
         this.tell({kind: 'received', state: result.value, from: 'store'});
@@ -162,6 +171,34 @@
     }
   }
 
+  /**
+   * Waits a short time for the registration of this process, by which a read
+   * shows that it is not from an older state of the store.
+   */
+  private async waitForRegistration(): Promise<void> {
+    const {clock, registeredAt} = this.deps;
+    const until = clock() + REGISTRATION_WAIT_MS;
+    while (registeredAt() === undefined && clock() < until) {
+      await sleep(REGISTRATION_CHECK_MS);
+    }
+  }
+
+  /**
+   * Rejects a first state that is older than this process. A store that lost its
+   * history may answer from an older state; a process that has just started has
+   * no state to compare it with, and would accept a withdrawn key.
+   */
+  private rejectOlder(
+    result: Result<OperatorState, StoreReadError>,
+  ): Result<OperatorState, StoreReadError> {
+    if (!result.ok || this.current) return result;
+    const {revision} = result.value;
+    const registeredAt = this.deps.registeredAt() ?? 0;
+    if (revision >= registeredAt) return result;
+    const detail = `stale answer: version ${revision}, registered at ${registeredAt}`;
+    return fail({kind: 'unavailable', detail});
+  }
+
   private recordStoreAnswer(): void {
     if (this.storeFailures === 0) return;
     this.storeFailures = 0;
