Let watchers sample the primaries' log positions for all VMs

Cause: a read may go to a replica only from a position that the primary reported within the age that the route allows, and each VM knew only the positions in the answers to its own statements.

Change: above 12 VMs the watchers of a data centre ask each primary for the end of its log every 0.4 s while their followers need it, over one connection and without a slot. A follower asks its watcher at most every 0.25 s and gets the samples of all groups with their ages, dated before its request. A read without a usable position waits for that answer once, 100 ms at most. The status queries of a group's members move into MemberProbes.

--- a/packages/core/src/routing/__tests__/position_samples.test.ts
+++ b/packages/core/src/routing/__tests__/position_samples.test.ts
@@ -2,6 +2,7 @@
 import {
   addPositionSample,
   laterPosition,
+  mergePositionSamples,
   requiredPosition,
 } from '../position_samples.js';
 import type {PositionSamples} from '../position_samples.js';
@@ -40,6 +41,21 @@
   });
 });
 
+describe('mergePositionSamples', () => {
+  // Guards against a position that a read of this age does not have, because a
+  // sample of another VM is put out of order or in the place of a later term.
+  it('adds the samples of another VM in order', () => {
+    expect({
+      between: mergePositionSamples(SAMPLES, [sampleAt(800, 3, 15)]),
+      before: mergePositionSamples(SAMPLES, [sampleAt(20, 3, 7)]),
+      close: mergePositionSamples(SAMPLES, [sampleAt(610, 3, 14)]),
+      laterTerm: mergePositionSamples(SAMPLES, [sampleAt(900, 4, 2)]),
+      formerTerm: mergePositionSamples(SAMPLES, [sampleAt(900, 2, 99)]).length,
+      none: mergePositionSamples([], []),
+    }).toMatchSnapshot();
+  });
+});
+
 const LOAD: MemberLoad = {
   member: 'a',
   role: 'replica',
--- a/packages/core/src/routing/position_samples.ts
+++ b/packages/core/src/routing/position_samples.ts
@@ -35,6 +35,17 @@
   return [...samples.slice(1 - MAX_SAMPLES), sample];
 }
 
+/** Adds samples that another VM took, which may lie between known ones. */
+export function mergePositionSamples(
+  samples: PositionSamples,
+  added: PositionSamples,
+): PositionSamples {
+  if (added.length === 0) return samples;
+  return [...samples, ...added]
+    .sort((a, b) => a.askedAt - b.askedAt)
+    .reduce(addPositionSample, [] as PositionSamples);
+}
+
 /**
  * Returns the lowest sampled log position that covers every commit acknowledged
  * up to `maxAgeMs` before `now`, or undefined if no sample is recent enough.
--- a/packages/gateway/src/daemon/daemon_peer_handlers.ts
+++ b/packages/gateway/src/daemon/daemon_peer_handlers.ts
@@ -2,6 +2,7 @@
 import {ask} from '@pistachiorill/tasks';
 import type {DatabaseTask} from '../database/database_task.js';
 import type {FleetTask} from '../fleet/fleet_task.js';
+import type {PositionTask, RelayedPositions} from '../fleet/position_task.js';
 import type {RelayRequest, RelayedRows} from '../fleet/relayed_rows.js';
 import type {LeadershipTask} from '../leadership/leadership_task.js';
 import {GatewayHandlers} from '../peers/gateway_handlers.js';
@@ -25,6 +26,7 @@
   readonly quota: QuotaTask;
   readonly configuration: ConfigurationTask;
   readonly directory: DirectoryTask;
+  readonly positions: PositionTask;
 }
 
 /** Forwards each peer request to the task that owns the state in question. */
@@ -87,6 +89,10 @@
     return relayed ?? null;
   }
 
+  override positions(): Promise<RelayedPositions> {
+    return ask(reply => this.deps.positions.tell({kind: 'relay', reply}));
+  }
+
   override tokens(workspace: string, asked: number): Promise<number> {
     return ask(reply =>
       this.deps.quota.tell({kind: 'give', workspace, asked, reply}),
--- a/packages/gateway/src/daemon/database_set.ts
+++ b/packages/gateway/src/daemon/database_set.ts
@@ -25,6 +25,7 @@
   readonly settings: GatewaySettings;
   readonly links: MemberLinkFactory;
   readonly view: () => FleetView;
+  readonly requestPositions: (group: string) => 'requested' | 'not-sampled';
   readonly onSuspect: (group: string, primary: string, since: number) => void;
   readonly clock: Clock;
   readonly log: Logger;
@@ -113,7 +114,8 @@
   }
 
   private open(group: string): void {
-    const {settings, links, clock, log, view, onSuspect} = this.deps;
+    const {settings, links, clock, log, view, onSuspect, requestPositions} =
+      this.deps;
     const {vm, regions} = settings;
     const task = new DatabaseTask(group, {
       vm: {dataCentre: vm.data_centre, region: vm.region},
@@ -121,6 +123,7 @@
       links,
       clock,
       primaryLease: leadership => this.primaryLeaseFor(group, leadership),
+      requestPositions,
       onPrimaryUnreachable: (name, primary, since) => {
         this.suspicions.set(name, {since, at: clock()});
         onSuspect(name, primary, since);
--- a/packages/gateway/src/daemon/gateway_daemon.ts
+++ b/packages/gateway/src/daemon/gateway_daemon.ts
@@ -16,6 +16,7 @@
 import {dataCentresOf} from '../fleet/fleet_rows.js';
 import {EMPTY_FLEET_VIEW, isProven, provenShares} from '../fleet/fleet_view.js';
 import type {FleetView} from '../fleet/fleet_view.js';
+import {PositionTask} from '../fleet/position_task.js';
 import {ShareAllocator} from '../fleet/share_allocator.js';
 import {LeadershipTask} from '../leadership/leadership_task.js';
 import {ConfigurationTask} from '../operators/configuration_task.js';
@@ -64,6 +65,7 @@
   private readonly shareAllocator: ShareAllocator;
   private readonly configuration: ConfigurationTask;
   private readonly directory: DirectoryTask;
+  private readonly positions: PositionTask;
   private readonly peerServer: PeerServer;
   private readonly sessionDependencies: SessionDependencies;
   private metricsServer: Server | undefined;
@@ -118,6 +120,15 @@
       log,
       onFailed,
     });
+    const watcher = newWatcherChoice();
+    this.positions = new PositionTask({
+      groups: () => this.databases.groups,
+      database: group => this.databases.get(group),
+      peers,
+      watcher,
+      clock,
+      onFailed,
+    });
     const shares = new WorkspaceShares(vm);
     this.quota = new QuotaTask({
       clock,
@@ -140,6 +151,11 @@
       settings,
       links: this.ports.links,
       view: () => this.currentView(),
+      requestPositions: group => {
+        if (!watcher.isFleetWatched()) return 'not-sampled';
+        this.positions.tell({kind: 'needed', group});
+        return 'requested';
+      },
       onSuspect: (group, primary, since) => {
         this.directory.tell({kind: 'list-soon'});
         this.leadership.tell({kind: 'suspected', group, primary, since});
@@ -220,6 +236,7 @@
             quota: this.quota,
             configuration: this.configuration,
             directory: this.directory,
+            positions: this.positions,
           }),
         },
       },
@@ -303,6 +320,7 @@
     this.shareAllocator.tell({kind: 'stop'});
     this.configuration.tell({kind: 'stop'});
     this.directory.tell({kind: 'stop'});
+    this.positions.tell({kind: 'stop'});
     this.peerServer.close();
     this.peers.close();
     this.ports.readiness.close();
--- a/packages/gateway/src/database/database_message.ts
+++ b/packages/gateway/src/database/database_message.ts
@@ -1,6 +1,7 @@
 import type {
   GroupSettings,
   LogPosition,
+  PositionSamples,
   PrimaryObservation,
   Result,
   VersionedLeadership,
@@ -52,6 +53,8 @@
       readonly kind: 'check-out';
       readonly request: CheckoutRequest;
       readonly reply: Reply<Result<Checkout, CheckoutRefusal>>;
+      /** Whether the request has waited for a position that a peer sampled. */
+      readonly positions?: 'awaited';
     }
   /** Returns a checked-out connection to its pool. */
   | {readonly kind: 'return'; readonly checkout: Checkout}
@@ -120,6 +123,12 @@
       readonly member: string;
       readonly term: number;
     }
+  /** Positions of the primary that a peer sampled; none if it has none. */
+  | {readonly kind: 'positions'; readonly samples: PositionSamples}
+  /** Requests the positions of the primary that this VM knows. */
+  | {readonly kind: 'samples'; readonly reply: Reply<PositionSamples>}
+  /** Asks the primary for the end of its log, if that is not known. */
+  | {readonly kind: 'sample-primary'}
   /** Runs the periodic maintenance. */
   | {readonly kind: 'tick'}
   | {readonly kind: 'close'};
--- a/packages/gateway/src/database/database_task.ts
+++ b/packages/gateway/src/database/database_task.ts
@@ -1,6 +1,5 @@
-import {addPositionSample, fail, ok} from '@pistachiorill/core';
+import {fail, ok} from '@pistachiorill/core';
 import type {
-  PositionSamples,
   PrimaryObservation,
   Result,
   VersionedLeadership,
@@ -8,21 +7,22 @@
 import {Task} from '@pistachiorill/tasks';
 import type {Reply} from '@pistachiorill/tasks';
 import type {ListedMember} from '../ports/member_directory.js';
-import {ControlConnections, isResponding} from './control_connections.js';
 import type {
-  DatabaseMessage,
   CheckoutValidity,
-  StatusResult,
+  DatabaseMessage,
   StopMode,
 } from './database_message.js';
 import type {DatabaseDependencies} from './database_tools.js';
 import type {Checkout, CheckoutRefusal, CheckoutRequest} from './checkout.js';
 import {checkoutRefusal, poolRefusal} from './lease_refusals.js';
 import {MemberConnection} from './member_connection.js';
+import {MemberProbes} from './member_probes.js';
 import {MemberTable} from './member_table.js';
 import {placeStatement} from './place_statement.js';
 import type {Placement} from './place_statement.js';
 import {PendingPrimaryStops} from './pending_primary_stops.js';
+import {PrimarySampler} from './primary_sampler.js';
+import {RecentPositions} from './recent_positions.js';
 
 const MAINTENANCE_INTERVAL_MS = 50;
 
@@ -32,28 +32,26 @@
 /** Owns this VM's members, connections and leadership record of one group. */
 export class DatabaseTask extends Task<DatabaseMessage> {
   private leadership: VersionedLeadership | undefined;
-  private samples: PositionSamples = [];
+  private readonly positions = new RecentPositions();
   private readonly members: MemberTable;
   private readonly stops = new PendingPrimaryStops();
-  /** Members with a pending status probe. */
-  private readonly probing = new Set<string>();
   /** Requests that wait until a primary change ends. */
   private deferred: CheckoutMessage[] = [];
   private ticker: NodeJS.Timeout | undefined;
-  private readonly control: ControlConnections;
+  private readonly probes: MemberProbes;
+  private readonly sampler: PrimarySampler;
 
   constructor(
     private readonly group: string,
     private readonly deps: DatabaseDependencies,
   ) {
     super();
-    this.control = new ControlConnections(group, deps.links);
-    const {vm, regionOf} = deps;
-    this.members = new MemberTable({
-      vm,
-      regionOf,
-      open: (listed, workspace) => this.openConnection(listed, workspace),
-    });
+    const {vm, regionOf, clock} = deps;
+    const open = (listed: ListedMember, workspace: string): MemberConnection =>
+      this.openConnection(listed, workspace);
+    this.sampler = new PrimarySampler({open, clock});
+    this.members = new MemberTable({vm, regionOf, open});
+    this.probes = new MemberProbes(group, deps.links, this.members);
   }
 
   protected override handle(message: DatabaseMessage): void {
@@ -102,7 +100,17 @@
         this.handleFault(message, now);
         return;
       case 'probed':
-        this.handleProbe(message.member, message.status, now);
+        if (
+          this.probes.ended(message.member, message.status, now) === 'failed'
+        ) {
+          return;
+        }
+        this.logMember(
+          'member.answers',
+          message.member,
+          'member responds again',
+        );
+        this.retryDeferred(now);
         return;
       case 'stop-primary':
         this.stopPrimary(message, now);
@@ -112,15 +120,25 @@
         return;
       case 'status':
         this.runInBackground(async () =>
-          message.reply.answer(await this.status(message.member)),
+          message.reply.answer(await this.probes.status(message.member)),
+        );
+        return;
+      case 'step-down':
+        this.runInBackground(() =>
+          this.probes.stepDown(message.member, message.term),
         );
         return;
-      case 'step-down': {
-        const listed = this.members.listed(message.member);
-        if (!listed) return;
-        this.runInBackground(() => this.control.stepDown(listed, message.term));
+      case 'positions':
+        for (const waiting of this.positions.merge(message.samples)) {
+          this.checkOut(waiting, now);
+        }
+        return;
+      case 'samples':
+        message.reply.answer(this.positions.samples);
+        return;
+      case 'sample-primary':
+        this.samplePrimary();
         return;
-      }
       case 'tick':
         this.tick(now);
         return;
@@ -162,6 +180,7 @@
     }
     const before = this.leadership?.record;
     this.leadership = leadership;
+    this.sampler.close();
     const {record, version} = leadership;
     this.deps.log.info(
       {event: 'leadership.learned', group: this.group, version, record},
@@ -201,15 +220,16 @@
 
   private finishStops(now: number): void {
     if (this.stops.size === 0) return;
-    const latestPosition = this.samples.at(-1)?.end;
+    const latestPosition = this.positions.samples.at(-1)?.end;
     this.stops.finish(member => this.members.pool(member), latestPosition, now);
   }
 
   private checkOut(message: CheckoutMessage, now: number): void {
     const {request, reply} = message;
+    if (this.awaitPosition(message, now)) return;
     const placed = placeStatement(request, {
       members: this.members,
-      samples: this.samples,
+      samples: this.positions.samples,
       primaryLease: this.deps.primaryLease(this.leadership),
       record: this.leadership?.record,
       now,
@@ -223,6 +243,27 @@
     }
   }
 
+  /**
+   * Requests a newer position of the primary for a read. Returns whether the
+   * read waits for it, which it does once.
+   */
+  private awaitPosition(message: CheckoutMessage, now: number): boolean {
+    const need = this.positions.needOf(message.request, now);
+    if (need === 'none' || message.positions === 'awaited') return false;
+    const requested = this.deps.requestPositions(this.group);
+    if (need === 'soon' || requested === 'not-sampled') return false;
+    this.positions.wait({...message, positions: 'awaited'});
+    return true;
+  }
+
+  /** Asks the primary for the end of its log, if it may receive work. */
+  private samplePrimary(): void {
+    const lease = this.deps.primaryLease(this.leadership);
+    if (lease.kind === 'denied') return;
+    const listed = this.members.listed(lease.primary);
+    if (listed && this.members.accepts(listed)) this.sampler.sample(listed);
+  }
+
   /** A replica's result stays valid: the replica had the required position. */
   private validityOf({role, member}: Checkout): CheckoutValidity {
     return role === 'replica' || this.isPrimary(member) ? 'valid' : 'expired';
@@ -270,7 +311,7 @@
     const {sentAt, applied: end} = info;
     // A position counts only if the VM holds the primary lease on receipt.
     if (end && this.isPrimary(member)) {
-      this.samples = addPositionSample(this.samples, {askedAt: sentAt, end});
+      this.positions.add({askedAt: sentAt, end});
     }
   }
 
@@ -305,33 +346,13 @@
 
   /**
    * Replies with this VM's observation of the primary, or of the one that is
-   * being replaced. Queries the member's status unless it responded recently.
+   * being replaced.
    */
   private async sight(reply: Reply<PrimaryObservation>): Promise<void> {
     const record = this.leadership?.record;
     const primary =
       (record?.phase === 'settled' ? record.primary : record?.from) ?? '';
-    if (!this.members.listed(primary)) {
-      reply.answer('unknown');
-      return;
-    }
-    const seen = this.members.observation(primary, this.deps.clock());
-    if (seen === 'reachable') {
-      reply.answer(seen);
-      return;
-    }
-    const status = await this.status(primary);
-    const isReplica = status.ok && status.value.role === 'replica';
-    const isReachable = isResponding(status) && !isReplica;
-    reply.answer(isReachable ? 'reachable' : 'unreachable');
-  }
-
-  private async status(member: string): Promise<StatusResult> {
-    const listed = this.members.listed(member);
-    if (!listed) {
-      return fail({kind: 'not-sent', detail: 'the member is not listed'});
-    }
-    return this.control.status(listed);
+    reply.answer(await this.probes.observe(primary, this.deps.clock()));
   }
 
   private tick(now: number): void {
@@ -344,28 +365,14 @@
 
   /** Probes failing members, so that no caller's statement has to. */
   private probeFailedMembers(now: number): void {
-    for (const listed of this.members.membersToProbe(now)) {
-      const {member} = listed;
-      if (this.probing.has(member)) continue;
-      this.probing.add(member);
+    for (const member of this.probes.start(now)) {
       this.runInBackground(async () => {
-        const status = await this.control.status(listed);
+        const status = await this.probes.status(member);
         this.tell({kind: 'probed', member, status});
       });
     }
   }
 
-  private handleProbe(member: string, status: StatusResult, now: number): void {
-    this.probing.delete(member);
-    if (!isResponding(status)) {
-      this.members.failed(member, now);
-      return;
-    }
-    this.members.recovered(member, now);
-    this.logMember('member.answers', member, 'member responds again');
-    this.retryDeferred(now);
-  }
-
   private retryDeferred(now: number): void {
     const requests = this.deferred;
     this.deferred = [];
@@ -375,7 +382,9 @@
   private close(): void {
     clearTimeout(this.ticker);
     this.members.abandonAll();
-    for (const {reply} of this.deferred) {
+    this.sampler.close();
+    const waiting = [...this.deferred, ...this.positions.merge([])];
+    for (const {reply} of waiting) {
       reply.answer(fail(checkoutRefusal('no-member', 'the VM stops')));
     }
     this.deferred = [];
--- a/packages/gateway/src/database/database_tools.ts
+++ b/packages/gateway/src/database/database_tools.ts
@@ -17,6 +17,11 @@
   readonly primaryLease: (
     leadership: VersionedLeadership | undefined,
   ) => PrimaryLeaseDecision;
+  /**
+   * Requests positions of the primary from the VM that samples it, if there is
+   * one. The answer arrives as a message, also if it has none.
+   */
+  readonly requestPositions: (group: string) => 'requested' | 'not-sampled';
   /**
    * Called repeatedly while the primary is unreachable; `since` is the time of
    * the first failure or of the oldest request without a response.
--- a/packages/gateway/src/database/member_connection.ts
+++ b/packages/gateway/src/database/member_connection.ts
@@ -153,7 +153,7 @@
     const sent = await this.send(
       this.withStatementName(job, request),
       deadline - sentAt,
-      'statement',
+      request.id === undefined ? 'setup' : 'statement',
     );
     if (!sent.ok) return fail(toJobFault(sent.err));
     const answer = sent.value;
--- a/packages/gateway/src/database/place_statement.ts
+++ b/packages/gateway/src/database/place_statement.ts
@@ -17,7 +17,7 @@
 import type {MemberTable} from './member_table.js';
 
 /** Subtracted from the maximum age, as a statement waits before it runs. */
-const AGE_MARGIN_MS = 100;
+export const AGE_MARGIN_MS = 100;
 /**
  * A leaving primary receives statements for this long after it was first listed
  * as leaving; the switchover should be complete by then.
--- a/packages/gateway/src/peers/gateway_handlers.ts
+++ b/packages/gateway/src/peers/gateway_handlers.ts
@@ -1,5 +1,6 @@
 import type {LogPosition, PrimaryObservation} from '@pistachiorill/core';
 import type {RelayRequest, RelayedRows} from '../fleet/relayed_rows.js';
+import type {RelayedPositions} from '../fleet/position_task.js';
 import type {RelayedMembers} from '../operators/directory_task.js';
 import type {ConfigurationRequest, StopRequest} from './gateway_router.js';
 
@@ -35,6 +36,8 @@
   ): Promise<RelayedConfiguration | null>;
   /** Returns this VM's list of members, if it has one. */
   abstract directory(): Promise<RelayedMembers | null>;
+  /** Returns the log positions of the primaries that this VM knows. */
+  abstract positions(): Promise<RelayedPositions>;
   /** Returns the number of tokens that this VM transfers to the caller. */
   abstract tokens(workspace: string, asked: number): Promise<number>;
 }
--- a/packages/gateway/src/peers/gateway_router.ts
+++ b/packages/gateway/src/peers/gateway_router.ts
@@ -74,6 +74,8 @@
     .mutation(({ctx, input}) => ctx.handlers.configuration(input)),
   /** Returns the VM's list of members and its age. */
   directory: t.procedure.mutation(({ctx}) => ctx.handlers.directory()),
+  /** Returns the log positions of the primaries that the VM knows. */
+  positions: t.procedure.mutation(({ctx}) => ctx.handlers.positions()),
   /** Transfers tokens of a workspace to the caller. */
   tokens: t.procedure
     .input(z.object({workspace: z.string(), asked: z.number()}))
--- a/packages/gateway/src/peers/peer_set.ts
+++ b/packages/gateway/src/peers/peer_set.ts
@@ -11,6 +11,7 @@
 import {createTRPCClient} from '@trpc/client';
 import type {TRPCClient} from '@trpc/client';
 import type {RelayRequest, RelayedRows} from '../fleet/relayed_rows.js';
+import type {RelayedPositions} from '../fleet/position_task.js';
 import type {RelayedMembers} from '../operators/directory_task.js';
 import type {RelayedConfiguration} from './gateway_handlers.js';
 import type {
@@ -148,6 +149,11 @@
     return this.call(vm, timeoutMs, (c, o) => c.directory.mutate(undefined, o));
   }
 
+  /** Asks a VM for the log positions of the primaries that it knows. */
+  positions(vm: string, timeoutMs: number): Answer<RelayedPositions> {
+    return this.call(vm, timeoutMs, (c, o) => c.positions.mutate(undefined, o));
+  }
+
   /** Asks a VM to transfer tokens of a workspace to this one. */
   tokens(
     vm: string,
--- a/packages/gateway/src/testing/fake_group.ts
+++ b/packages/gateway/src/testing/fake_group.ts
@@ -39,6 +39,9 @@
   readonly task: DatabaseTask;
   /** The primaries that the task reported as unreachable. */
   readonly unreachablePrimaries: string[] = [];
+  /** Whether another VM samples the primary's positions. */
+  positionSource: 'requested' | 'not-sampled' = 'not-sampled';
+  positionRequests = 0;
   /** Overrides the primary lease that follows from the leadership record. */
   primaryLease: PrimaryLeaseDecision | undefined;
 
@@ -52,6 +55,10 @@
       clock: () => performance.now(),
       primaryLease: leadership =>
         this.primaryLease ?? primaryLeaseOf(leadership),
+      requestPositions: () => {
+        this.positionRequests++;
+        return this.positionSource;
+      },
       onPrimaryUnreachable: (unusedGroup, primary) =>
         this.unreachablePrimaries.push(primary),
       log: silentLogger(),
