--- a/packages/gateway/src/daemon/gateway_daemon.ts
+++ b/packages/gateway/src/daemon/gateway_daemon.ts
@@ -13,7 +13,6 @@
 import {SuspensionClock, SystemClocks} from '../clock/suspension_clock.js';
 import {DatabaseSet} from './database_set.js';
 import {FleetTask} from '../fleet/fleet_task.js';
-import {dataCentresOf} from '../fleet/fleet_rows.js';
 import {EMPTY_FLEET_VIEW, isProven, provenShares} from '../fleet/fleet_view.js';
 import type {FleetView} from '../fleet/fleet_view.js';
 import {PositionTask} from '../fleet/position_task.js';
@@ -23,7 +22,7 @@
 import {DirectoryTask} from '../operators/directory_task.js';
 import {GATEWAY_ROUTER} from '../peers/gateway_router.js';
 import {PeerSet} from '../peers/peer_set.js';
-import {WatcherChoice} from '../peers/watcher_choice.js';
+import {newWatcherChoice} from '../peers/watcher_choice.js';
 import type {CallerLink, CallerServer} from '../ports/caller_link.js';
 import type {OperatorState} from '../ports/configuration_source.js';
 import type {ListedMember} from '../ports/member_directory.js';
@@ -101,26 +100,21 @@
     };
     const {name: vm, data_centre: dataCentre} = settings.vm;
     const incarnation = randomUUID();
-    const newWatcherChoice = (): WatcherChoice =>
-      new WatcherChoice({
-        vm,
-        dataCentre,
-        dataCentreByVm: () => dataCentresOf(this.currentView().rows),
-        peers,
-      });
+    const view = (): FleetView => this.currentView();
+    const newWatcher = () => newWatcherChoice(settings.vm, view, peers);
     this.fleet = new FleetTask({
       vm,
       entry: {peers: settings.listen.peers, dataCentre, incarnation},
       store: this.ports.store,
       peers,
-      watcher: newWatcherChoice(),
+      watcher: newWatcher(),
       clock,
       onView: view => this.applyView(view),
       onStoreFailure,
       log,
       onFailed,
     });
-    const watcher = newWatcherChoice();
+    const watcher = newWatcher();
     this.positions = new PositionTask({
       groups: () => this.databases.groups,
       database: group => this.databases.get(group),
@@ -134,15 +128,14 @@
       clock,
       startedAt: PROCESS_START_MS,
       sharePpm: workspace => {
-        const table = provenShares(this.currentView(), clock());
+        const table = provenShares(view(), clock());
         return table ? shares.shareOf(table, workspace) : 0;
       },
       rateHolders: workspace => {
-        const table = this.currentView().rows.shares?.value;
+        const table = view().rows.shares?.value;
         return table ? shares.rateHoldersOf(table, workspace) : [];
       },
-      hasProvenShares: () =>
-        provenShares(this.currentView(), clock()) !== undefined,
+      hasProvenShares: () => provenShares(view(), clock()) !== undefined,
       peers,
       log,
       onFailed,
@@ -150,7 +143,7 @@
     this.databases = new DatabaseSet({
       settings,
       links: this.ports.links,
-      view: () => this.currentView(),
+      view,
       requestPositions: group => {
         if (!watcher.isFleetWatched()) return 'not-sampled';
         this.positions.tell({kind: 'needed', group});
@@ -169,7 +162,7 @@
       ask(reply => this.fleet.tell({kind: 'transact', transaction, reply}));
     this.leadership = new LeadershipTask({
       vm,
-      view: () => this.currentView(),
+      view,
       groups: () => this.databases.groups,
       database: group => this.databases.get(group),
       members: group => this.databases.membersOf(group),
@@ -191,7 +184,7 @@
     });
     this.shareAllocator = new ShareAllocator({
       vm,
-      view: () => this.currentView(),
+      view,
       transact,
       peers,
       clock,
@@ -201,11 +194,11 @@
     this.configuration = new ConfigurationTask({
       source: this.ports.source,
       registeredAt: () => {
-        const own = this.currentView().rows.vms.get(vm);
+        const own = view().rows.vms.get(vm);
         return own?.value.incarnation === incarnation ? own.version : undefined;
       },
       peers,
-      watcher: newWatcherChoice(),
+      watcher: newWatcher(),
       clock,
       applyWithinMs: settings.limits.configuration_apply_ms,
       onConfirmed: () => this.metrics.configurationConfirmed(),
@@ -216,7 +209,7 @@
     });
     this.directory = new DirectoryTask({
       vm,
-      vms: () => [...this.currentView().rows.vms.keys()],
+      vms: () => [...view().rows.vms.keys()],
       directory: this.ports.directory,
       peers,
       clock,
--- a/packages/gateway/src/database/database_task.ts
+++ b/packages/gateway/src/database/database_task.ts
@@ -226,7 +226,8 @@
 
   private checkOut(message: CheckoutMessage, now: number): void {
     const {request, reply} = message;
-    if (this.awaitPosition(message, now)) return;
+    const requestPositions = () => this.deps.requestPositions(this.group);
+    if (this.positions.holdBack(message, now, requestPositions)) return;
     const placed = placeStatement(request, {
       members: this.members,
       samples: this.positions.samples,
@@ -243,19 +244,6 @@
     }
   }
 
-  /**
-   * Requests a newer position of the primary for a read. Returns whether the
-   * read waits for it, which it does once.
-   */
-  private awaitPosition(message: CheckoutMessage, now: number): boolean {
-    const need = this.positions.needOf(message.request, now);
-    if (need === 'none' || message.positions === 'awaited') return false;
-    const requested = this.deps.requestPositions(this.group);
-    if (need === 'soon' || requested === 'not-sampled') return false;
-    this.positions.wait({...message, positions: 'awaited'});
-    return true;
-  }
-
   /** Asks the primary for the end of its log, if it may receive work. */
   private samplePrimary(): void {
     const lease = this.deps.primaryLease(this.leadership);
--- a/packages/gateway/src/database/recent_positions.ts
+++ b/packages/gateway/src/database/recent_positions.ts
@@ -14,7 +14,7 @@
 const REFRESH_AGE_MS = 500;
 
 /** Whether a read needs a more recent position of the primary. */
-export type PositionNeed =
+type PositionNeed =
   /** The known positions are recent enough. */
   | 'none'
   /** They soon will not be. */
@@ -47,13 +47,25 @@
     return messages;
   }
 
-  /** Lets a read wait until the next `merge`. */
-  wait(message: CheckoutMessage): void {
-    this.waiting.push(message);
+  /**
+   * Requests newer positions if a read needs one. Returns whether the read waits
+   * for the next `merge`, which it does once.
+   */
+  holdBack(
+    message: CheckoutMessage,
+    now: number,
+    request: () => 'requested' | 'not-sampled',
+  ): boolean {
+    const need = this.needOf(message.request, now);
+    if (need === 'none' || message.positions === 'awaited') return false;
+    const requested = request();
+    if (need === 'soon' || requested === 'not-sampled') return false;
+    this.waiting.push({...message, positions: 'awaited'});
+    return true;
   }
 
   /** Returns whether a read needs a more recent position. */
-  needOf({requirement}: CheckoutRequest, now: number): PositionNeed {
+  private needOf({requirement}: CheckoutRequest, now: number): PositionNeed {
     if (requirement.kind === 'primary') return 'none';
     const maxAgeMs = requirement.maxAgeMs - AGE_MARGIN_MS;
     if (!requiredPosition(this.known, maxAgeMs, now)) return 'now';
--- a/packages/gateway/src/peers/watcher_choice.ts
+++ b/packages/gateway/src/peers/watcher_choice.ts
@@ -1,4 +1,7 @@
 import {selectWatchers} from '@pistachiorill/core';
+import type {GatewaySettings} from '../daemon/gateway_settings.js';
+import {dataCentresOf} from '../fleet/fleet_rows.js';
+import type {FleetView} from '../fleet/fleet_view.js';
 import type {PeerSet} from './peer_set.js';
 
 /** What the choice of a watcher depends on. */
@@ -10,6 +13,20 @@
   readonly peers: PeerSet;
 }
 
+/** Creates the choice of a VM from its view of the fleet. */
+export function newWatcherChoice(
+  {name, data_centre}: GatewaySettings['vm'],
+  view: () => FleetView,
+  peers: PeerSet,
+): WatcherChoice {
+  return new WatcherChoice({
+    vm: name,
+    dataCentre: data_centre,
+    dataCentreByVm: () => dataCentresOf(view().rows),
+    peers,
+  });
+}
+
 /** Chooses the watcher that this VM follows: a VM that watches the store. */
 export class WatcherChoice {
   private current: string | undefined;
