Decode each shared row once, and bound its numbers

Cause: each registration, loss or new table of shares decoded all shared rows again on every VM: at 195 VMs about 210 rows with a schema each, on a third of a core. The table of shares became a new object with each, so that the rate holders of all workspaces were computed again.

Change: RowDecoder keeps the content of a row as long as the row is kept; addresses, fencing numbers and shares have bounds; an odd row is reported once.

--- a/packages/gateway/src/fleet/__tests__/share_allocator.test.ts
+++ b/packages/gateway/src/fleet/__tests__/share_allocator.test.ts
@@ -10,10 +10,12 @@
 import {PeerSet} from '../../peers/peer_set.js';
 import {silentLogger} from '../../testing/fake_group.js';
 import {FakeStore} from '../../testing/fake_store.js';
-import {decodeRows} from '../fleet_rows.js';
+import {RowDecoder} from '../fleet_rows.js';
 import type {FleetView} from '../fleet_view.js';
 import {ShareAllocator} from '../share_allocator.js';
 
+const decoder = new RowDecoder(() => undefined);
+
 /** Peers of which some answer only after the time limit of a call. */
 class FakePeers extends PeerSet {
   readonly lost = new Set<string>();
@@ -55,7 +57,7 @@
   }
   store.put('shares', initialShares(VMS));
   const view = (): FleetView => ({
-    rows: decodeRows(store.rows.values(), () => undefined),
+    rows: decoder.decode(store.rows.values()),
     version: store.version,
     proof: {asOfStoreMs: clock() + 1_000_000},
     storeClock: {minOffset: 1_000_000, maxOffset: 1_000_000},
--- a/packages/gateway/src/fleet/fleet_rows.ts
+++ b/packages/gateway/src/fleet/fleet_rows.ts
@@ -1,3 +1,4 @@
+import {FULL_SHARE_PPM} from '@pistachiorill/core';
 import type {
   CoordinatorLease,
   LeadershipRecord,
@@ -29,8 +30,16 @@
   return key.startsWith(VM_PREFIX);
 }
 
+const MAX_PORT = 65_535;
+
+/** `host:port`, with a port that can be connected to. */
+const ADDRESS_SCHEMA = z.string().refine(address => {
+  const [, port] = /^[^\s:]+:(\d{1,5})$/.exec(address) ?? [];
+  return Number(port) >= 1 && Number(port) <= MAX_PORT;
+});
+
 const VM_SCHEMA = z.object({
-  peers: z.string(),
+  peers: ADDRESS_SCHEMA,
   dataCentre: z.string(),
   incarnation: z.string(),
 });
@@ -52,14 +61,14 @@
 
 const DUTY_SCHEMA = z.object({
   holder: z.string(),
-  fence: z.number(),
+  fence: z.number().int().min(0).max(Number.MAX_SAFE_INTEGER),
   takenAt: z.number(),
 });
 
 const SHARES_SCHEMA = z.record(
   z.string(),
   z.object({
-    ppm: z.number(),
+    ppm: z.number().min(0).max(FULL_SHARE_PPM),
     revokedAt: z.number().optional(),
     lostBy: z.number().optional(),
   }),
@@ -87,41 +96,94 @@
   return new Map([...vms].map(([vm, {value}]) => [vm, value.dataCentre]));
 }
 
-/** Decodes the rows; reports unreadable ones and leaves them out. */
-export function decodeRows(
-  rows: Iterable<TableRow>,
-  onUnreadable: (key: string) => void,
-): FleetRows {
-  const vms = new Map<string, Versioned<VmRegistration>>();
-  const leadership = new Map<string, VersionedLeadership>();
-  let duty: Versioned<CoordinatorLease> | undefined;
-  let shares: Versioned<ShareTable> | undefined;
-  for (const {key, value, version} of rows) {
-    if (key.startsWith(VM_PREFIX)) {
-      const entry = read(VM_SCHEMA, value);
-      if (entry) vms.set(key.slice(VM_PREFIX.length), {value: entry, version});
-      else onUnreadable(key);
-    } else if (key.startsWith(LEADERSHIP_PREFIX)) {
-      const record: LeadershipRecord | undefined = read(
-        LEADERSHIP_SCHEMA,
-        value,
-      );
-      const group = key.slice(LEADERSHIP_PREFIX.length);
-      if (record) leadership.set(group, {record, version});
-      else onUnreadable(key);
-    } else if (key === COORDINATOR_LEASE_KEY) {
-      const record = read(DUTY_SCHEMA, value);
-      if (record) duty = {value: record, version};
-      else onUnreadable(key);
-    } else if (key === SHARES_KEY) {
-      const table = read(SHARES_SCHEMA, value);
-      if (table) shares = {value: table as ShareTable, version};
-      else onUnreadable(key);
+/** The content of one row, by what its key says that it holds. */
+type DecodedRow =
+  | {readonly kind: 'vm'; readonly vm: string; readonly value: VmRegistration}
+  | {
+      readonly kind: 'leadership';
+      readonly group: string;
+      readonly record: LeadershipRecord;
+    }
+  | {readonly kind: 'duty'; readonly value: CoordinatorLease}
+  | {readonly kind: 'shares'; readonly value: ShareTable}
+  | {readonly kind: 'unreadable'}
+  /** A row of another version of the program. */
+  | {readonly kind: 'unknown'};
+
+/**
+ * Decodes the rows; reports unreadable ones and leaves them out. A row that was
+ * decoded before is not decoded again, as one registration of a large fleet would
+ * otherwise cost as much as all of them.
+ */
+export class RowDecoder {
+  private readonly decoded = new WeakMap<TableRow, DecodedRow>();
+
+  constructor(private readonly onUnreadable: (key: string) => void) {}
+
+  decode(rows: Iterable<TableRow>): FleetRows {
+    const vms = new Map<string, Versioned<VmRegistration>>();
+    const leadership = new Map<string, VersionedLeadership>();
+    let duty: Versioned<CoordinatorLease> | undefined;
+    let shares: Versioned<ShareTable> | undefined;
+    for (const row of rows) {
+      const {version} = row;
+      const content = this.decodeOnce(row);
+      switch (content.kind) {
+        case 'vm':
+          vms.set(content.vm, {value: content.value, version});
+          break;
+        case 'leadership':
+          leadership.set(content.group, {record: content.record, version});
+          break;
+        case 'duty':
+          duty = {value: content.value, version};
+          break;
+        case 'shares':
+          shares = {value: content.value, version};
+          break;
+        case 'unreadable':
+        case 'unknown':
+          break;
+      }
     }
+    return {vms, leadership, duty, shares};
+  }
+
+  private decodeOnce(row: TableRow): DecodedRow {
+    const known = this.decoded.get(row);
+    if (known) return known;
+    const content = decodeRow(row);
+    if (content.kind === 'unreadable') this.onUnreadable(row.key);
+    this.decoded.set(row, content);
+    return content;
   }
-  return {vms, leadership, duty, shares};
 }
 
+function decodeRow({key, value: text}: TableRow): DecodedRow {
+  if (key.startsWith(VM_PREFIX)) {
+    const value = read(VM_SCHEMA, text);
+    if (!value) return UNREADABLE;
+    return {kind: 'vm', vm: key.slice(VM_PREFIX.length), value};
+  }
+  if (key.startsWith(LEADERSHIP_PREFIX)) {
+    const record: LeadershipRecord | undefined = read(LEADERSHIP_SCHEMA, text);
+    if (!record) return UNREADABLE;
+    const group = key.slice(LEADERSHIP_PREFIX.length);
+    return {kind: 'leadership', group, record};
+  }
+  if (key === COORDINATOR_LEASE_KEY) {
+    const value = read(DUTY_SCHEMA, text);
+    return value ? {kind: 'duty', value} : UNREADABLE;
+  }
+  if (key === SHARES_KEY) {
+    const value = read(SHARES_SCHEMA, text);
+    return value ? {kind: 'shares', value: value as ShareTable} : UNREADABLE;
+  }
+  return {kind: 'unknown'};
+}
+
+const UNREADABLE: DecodedRow = {kind: 'unreadable'};
+
 function read<T>(schema: z.ZodType<T>, text: string): T | undefined {
   try {
     const parsed = schema.safeParse(JSON.parse(text));
--- a/packages/gateway/src/fleet/fleet_task.ts
+++ b/packages/gateway/src/fleet/fleet_task.ts
@@ -23,7 +23,7 @@
 import {WaitingReplies} from '../peers/waiting_replies.js';
 import type {WatcherChoice} from '../peers/watcher_choice.js';
 import type {FleetMessage, ReadScope} from './fleet_message.js';
-import {decodeRows, isVmRow, vmKey} from './fleet_rows.js';
+import {RowDecoder, isVmRow, vmKey} from './fleet_rows.js';
 import type {VmRegistration} from './fleet_rows.js';
 import type {FleetView} from './fleet_view.js';
 import {joinedState, registrationOf} from './registration.js';
@@ -77,12 +77,16 @@
   private phase: 'running' | 'leaving' = 'running';
   private registration: 'idle' | 'under-way' = 'idle';
   private readonly reader: StoreReader;
+  private readonly decoder: RowDecoder;
   private readonly waitingPeers = new WaitingReplies();
   private view: FleetView;
 
   constructor(private readonly deps: FleetDependencies) {
     super();
     this.reader = new StoreReader(deps);
+    this.decoder = new RowDecoder(key =>
+      deps.log.warn({event: 'fleet.unreadable', key}, 'row ignored'),
+    );
     this.view = this.currentView();
   }
 
@@ -196,9 +200,7 @@
   }
 
   private currentView(): FleetView {
-    const rows = decodeRows(this.copy.values(), key =>
-      this.deps.log.warn({event: 'fleet.unreadable', key}, 'row ignored'),
-    );
+    const rows = this.decoder.decode(this.copy.values());
     return {
       rows,
       version: this.copy.version,
--- a/packages/gateway/src/leadership/__tests__/leadership_task.test.ts
+++ b/packages/gateway/src/leadership/__tests__/leadership_task.test.ts
@@ -2,7 +2,7 @@
 import {UNKNOWN_STORE_CLOCK, fail, ok} from '@pistachiorill/core';
 import type {Random} from '@pistachiorill/core';
 import {PeerSet} from '../../peers/peer_set.js';
-import {decodeRows} from '../../fleet/fleet_rows.js';
+import {RowDecoder} from '../../fleet/fleet_rows.js';
 import type {FleetView} from '../../fleet/fleet_view.js';
 import {
   FakeGroup,
@@ -12,6 +12,8 @@
 import {FakeStore} from '../../testing/fake_store.js';
 import {LeadershipTask} from '../leadership_task.js';
 
+const decoder = new RowDecoder(() => undefined);
+
 /** One other VM, which answers or is unresponsive. */
 class FakePeers extends PeerSet {
   state: 'answers' | 'silent' = 'answers';
@@ -49,7 +51,7 @@
   }
   store.put('leadership/wash', {phase: 'settled', primary: 'a'});
   const view = (): FleetView => ({
-    rows: decodeRows(store.rows.values(), () => undefined),
+    rows: decoder.decode(store.rows.values()),
     version: store.version,
     proof: {asOfStoreMs: clock() + 1_000_000},
     storeClock: {
--- a/packages/gateway/src/leadership/__tests__/primary_change.test.ts
+++ b/packages/gateway/src/leadership/__tests__/primary_change.test.ts
@@ -11,7 +11,7 @@
   PromotionError,
   PromotionRequest,
 } from '../../ports/primary_promoter.js';
-import {decodeRows} from '../../fleet/fleet_rows.js';
+import {RowDecoder} from '../../fleet/fleet_rows.js';
 import type {FleetView} from '../../fleet/fleet_view.js';
 import {
   FakeGroup,
@@ -21,6 +21,8 @@
 import {FakeStore} from '../../testing/fake_store.js';
 import {PrimaryChange} from '../primary_change.js';
 
+const decoder = new RowDecoder(() => undefined);
+
 type OrderFaultMode = 'done' | 'rejected-once' | 'answer-lost-once';
 
 /**
@@ -92,7 +94,7 @@
   const peers = new FakePeers({fraction: () => 0} as unknown as Random);
   const orders = new FakeOrders(fake);
   const view = (): FleetView => ({
-    rows: decodeRows(store.rows.values(), () => undefined),
+    rows: decoder.decode(store.rows.values()),
     version: store.version,
     proof: {asOfStoreMs: clock() + 1_000_000},
     storeClock: {
