Read the list of members through the watchers of the data centre, once

While the store was away every VM read it again each 0.4 s.

Change: the watchers of a data centre read the list for it; a VM sends the digest of the list that it has, and gets the list only if it differs. An unavailable store is asked by followers once in 2.5 s.

--- a/packages/gateway/src/daemon/daemon_peer_handlers.ts
+++ b/packages/gateway/src/daemon/daemon_peer_handlers.ts
@@ -9,6 +9,7 @@
 import type {RelayedConfiguration} from '../peers/gateway_handlers.js';
 import type {
   ConfigurationRequest,
+  DirectoryRequest,
   StopRequest,
 } from '../peers/gateway_router.js';
 import type {ConfigurationTask} from '../operators/configuration_task.js';
@@ -82,9 +83,11 @@
     return relayed ?? null;
   }
 
-  override async directory(): Promise<RelayedMembers | null> {
+  override async directory(
+    request: DirectoryRequest,
+  ): Promise<RelayedMembers | null> {
     const relayed = await ask<RelayedMembers | undefined>(reply =>
-      this.deps.directory.tell({kind: 'relay', reply}),
+      this.deps.directory.tell({kind: 'relay', request, reply}),
     );
     return relayed ?? null;
   }
--- a/packages/gateway/src/daemon/gateway_daemon.ts
+++ b/packages/gateway/src/daemon/gateway_daemon.ts
@@ -208,8 +208,7 @@
       onFailed,
     });
     this.directory = new DirectoryTask({
-      vm,
-      vms: () => [...view().rows.vms.keys()],
+      watcher: newWatcher(),
       directory: this.ports.directory,
       peers,
       clock,
--- a/packages/gateway/src/operators/__tests__/directory_task.test.ts
+++ b/packages/gateway/src/operators/__tests__/directory_task.test.ts
@@ -1,9 +1,11 @@
 import {afterEach, describe, expect, it} from 'vitest';
-import {Random, fail, ok, selectRepresentatives} from '@pistachiorill/core';
+import {Random, fail, ok, selectWatchers} from '@pistachiorill/core';
 import {ask} from '@pistachiorill/tasks';
 import {PeerSet} from '../../peers/peer_set.js';
 import {MemberDirectory} from '../../ports/member_directory.js';
 import type {ListedMember} from '../../ports/member_directory.js';
+import type {DirectoryRequest} from '../../peers/gateway_router.js';
+import {FakeFleet, fleetOf} from '../../testing/fake_fleet_peers.js';
 import {listedMember, silentLogger} from '../../testing/fake_group.js';
 import {DirectoryTask} from '../directory_task.js';
 import type {RelayedMembers} from '../directory_task.js';
@@ -27,8 +29,9 @@
 
 /** Peers that all answer with the same list. */
 class FakePeers extends PeerSet {
-  relayed: RelayedMembers | null = null;
+  relayed: {members: readonly ListedMember[]; ageMs: number} | null = null;
   asked: string[] = [];
+  listsSent = 0;
 
   override sample(
     count: number,
@@ -38,9 +41,14 @@
     return (among ?? ['vm-b']).slice(0, count);
   }
 
-  override async directory(vm: string) {
+  override async directory(vm: string, {known}: DirectoryRequest) {
     this.asked.push(vm);
-    return ok(this.relayed);
+    if (!this.relayed) return ok(null);
+    const {members, ageMs} = this.relayed;
+    const digest = JSON.stringify(members);
+    if (known === digest) return ok<RelayedMembers>({digest, ageMs});
+    this.listsSent++;
+    return ok<RelayedMembers>({members, digest, ageMs});
   }
 }
 
@@ -54,10 +62,9 @@
   const directory = new FakeDirectory();
   const peers = new FakePeers(new Random(1));
   const views: string[] = [];
-  const vms = Array.from({length: vmCount}, (unused, i) => `vm-${i}`);
+  const fleet = new FakeFleet(fleetOf(vmCount));
   const task = new DirectoryTask({
-    vm,
-    vms: () => vms,
+    watcher: fleet.watcherOf(vm, peers),
     directory,
     peers,
     clock: () => performance.now() + offset.ms,
@@ -72,14 +79,25 @@
     task.tell({kind: 'list'});
     await new Promise(resolve => setTimeout(resolve, 30));
   };
-  return {task, directory, peers, views, offset, vms, list};
+  return {task, directory, peers, views, offset, list};
+}
+
+/** Finds a VM that reads the store, or one that follows a watcher. */
+function findVm(vmCount: number, role: 'reader' | 'other'): string {
+  const fleet = fleetOf(vmCount);
+  const watchers = selectWatchers(fleet, 'macon');
+  const found = [...fleet].find(([vm, dataCentre]) => {
+    const isReader = watchers.length === 0 || watchers.includes(vm);
+    return dataCentre === 'macon' && isReader === (role === 'reader');
+  });
+  return found?.[0] ?? '';
 }
 
 describe('DirectoryTask', () => {
   // Guards against a VM that no longer follows the list, or ends, after an
   // unexpected error in one reading of it.
   it('keeps listing the members after an unexpected error', async () => {
-    const {directory, views, list} = start(8, 'vm-0');
+    const {directory, views, list} = start(8, 'vm-000');
     await list();
     directory.state = 'throws';
     await list();
@@ -97,7 +115,7 @@
   ] as const)(
     'keeps the newest list: that of the peer is %s',
     async (unusedName, ageMs) => {
-      const {directory, peers, views, offset, list} = start(8, 'vm-0');
+      const {directory, peers, views, offset, list} = start(8, 'vm-000');
       directory.members = [LEAVING];
       await list();
       offset.ms = 1_000;
@@ -116,12 +134,9 @@
     ['from a reader in a large fleet', 40, 'other', 10],
     ['the store if the reader has an old list', 40, 'other', 4_000],
   ] as const)('reads %s', async (unusedName, vmCount, role, ageMs) => {
-    const names = Array.from({length: vmCount}, (unused, i) => `vm-${i}`);
-    const readers = selectRepresentatives('members', names);
-    const vm = names.find(
-      name => readers.includes(name) === (role === 'reader'),
-    );
-    const {directory, peers, views, list} = start(vmCount, vm ?? '');
+    const readers = selectWatchers(fleetOf(vmCount), 'macon');
+    const vm = findVm(vmCount, role);
+    const {directory, peers, views, list} = start(vmCount, vm);
     peers.relayed = {members: [READY], ageMs};
     await list();
     expect({
@@ -131,15 +146,40 @@
     }).toMatchSnapshot();
   });
 
+  // Guards against the whole list once a second to every VM of a large fleet.
+  it('receives a list that it has only once', async () => {
+    const {peers, views, offset, list} = start(40, findVm(40, 'other'));
+    const lists = [[READY], [READY], [LEAVING], [LEAVING], [READY]];
+    for (const members of lists) {
+      offset.ms += 1_000;
+      peers.relayed = {members, ageMs: 10};
+      await list();
+    }
+    expect({views, listsSent: peers.listsSent}).toMatchSnapshot();
+  });
+
+  // Guards against reads by the whole fleet while the store is unavailable.
+  it('reads an unavailable store rarely', async () => {
+    const {directory, peers, offset, list} = start(40, findVm(40, 'other'));
+    directory.state = 'away';
+    for (let check = 0; check < 20; check++) {
+      offset.ms += 500;
+      peers.relayed = {members: [READY], ageMs: 5_000 + offset.ms};
+      await list();
+    }
+    // Two at first, and one in 2.5 s of the 10 s.
+    expect(directory.reads).toBeLessThanOrEqual(2 + 4);
+  });
+
   // Guards against an old list that one VM after the other relays as new.
   it('relays the age of its list', async () => {
-    const {task, directory, peers, offset, list} = start(8, 'vm-0');
+    const {task, directory, peers, offset, list} = start(8, 'vm-000');
     directory.state = 'away';
     peers.relayed = {members: [READY], ageMs: 3_000};
     await list();
     offset.ms = 500;
     const relayed = await ask<RelayedMembers | undefined>(reply =>
-      task.tell({kind: 'relay', reply}),
+      task.tell({kind: 'relay', request: {known: ''}, reply}),
     );
     expect(relayed?.ageMs).toBeGreaterThanOrEqual(3_500);
   });
--- a/packages/gateway/src/operators/directory_task.ts
+++ b/packages/gateway/src/operators/directory_task.ts
@@ -1,21 +1,22 @@
-import {selectRepresentatives} from '@pistachiorill/core';
+import {createHash} from 'node:crypto';
+import {decideFollow} from '@pistachiorill/core';
 import {Task} from '@pistachiorill/tasks';
 import type {Clock, Reply} from '@pistachiorill/tasks';
 import type {Logger} from '@pistachiorill/telemetry';
+import type {DirectoryRequest} from '../peers/gateway_router.js';
 import type {PeerSet} from '../peers/peer_set.js';
+import type {WatcherChoice} from '../peers/watcher_choice.js';
 import type {ListedMember, MemberDirectory} from '../ports/member_directory.js';
 
 /** How often the members are listed while each VM reads the store itself. */
 const LIST_INTERVAL_MS = 2_000;
 /**
- * The interval while only some VMs read the store for all others. A list then
+ * The interval while watchers read the store for all others. A list then
  * takes two steps to arrive, so each is half as long.
  */
 const SHARED_LIST_INTERVAL_MS = 1_000;
-/** If a reader's list is older than this, the VM reads the store itself. */
+/** If a watcher's list is older than this, the VM reads the store itself. */
 const MAX_RELAYED_AGE_MS = 1_500;
-/** Key by which the VMs that read the store for all others are chosen. */
-const READERS_KEY = 'members';
 /**
  * The interval after a member did not answer and while one is missing from the
  * list, as its entry may have changed.
@@ -30,14 +31,16 @@
 const EVICT_MISSING_AFTER_MS = 2_500;
 
 /**
- * Where a list comes from: the store itself, a VM that reads it for all others,
- * or, while the store is unavailable, any peer, whose list may be old.
+ * Where a list comes from: the store itself, the watcher that reads it for this
+ * VM, or, while the store is unavailable, any peer, whose list may be old.
  */
-type ListSource = 'store' | 'reader' | 'peer';
+type ListSource = 'store' | 'watcher' | 'peer';
 
 /** A VM's list of members and its age, as they are sent to a peer. */
 export interface RelayedMembers {
-  readonly members: readonly ListedMember[];
+  /** Left out if the caller has the list with this digest. */
+  readonly members?: readonly ListedMember[] | undefined;
+  readonly digest: string;
   readonly ageMs: number;
 }
 
@@ -54,6 +57,7 @@
   /** A peer asks for the list. */
   | {
       readonly kind: 'relay';
+      readonly request: DirectoryRequest;
       readonly reply: Reply<RelayedMembers | undefined>;
     }
   /** A member does not answer, so its entry is read again soon. */
@@ -64,9 +68,8 @@
 
 /** Collaborators of the directory task. */
 export interface DirectoryDependencies {
-  readonly vm: string;
-  /** Names of the registered VMs. */
-  readonly vms: () => readonly string[];
+  /** The watcher that reads the list for this VM, if it does not itself. */
+  readonly watcher: WatcherChoice;
   readonly directory: MemberDirectory;
   readonly peers: PeerSet;
   readonly clock: Clock;
@@ -92,8 +95,13 @@
   private asOf = -Infinity;
   private pace: 'usual' | 'urgent' = 'usual';
   private state: 'idle' | 'listing' | 'stopped' = 'idle';
-  /** The list published last, as JSON. */
+  /** The list published last, as JSON, and its digest. */
   private published = '';
+  private digest = '';
+  /** The list that a peer sent last. */
+  private received: RelayedMembers | undefined;
+  private askedStoreAt = -Infinity;
+  private storeFailures = 0;
 
   constructor(private readonly deps: DirectoryDependencies) {
     super();
@@ -108,7 +116,7 @@
         this.mergeList(message);
         return;
       case 'relay':
-        message.reply.answer(this.relay());
+        message.reply.answer(this.relay(message.request));
         return;
       case 'list-soon':
         this.listSoon();
@@ -129,7 +137,7 @@
     this.listedAt = this.deps.clock();
     let listed: ListedMessage | undefined;
     try {
-      listed = (await this.askReader()) ?? (await this.readStore());
+      listed = await this.fetch();
       if (listed && !this.isStopped()) this.tell(listed);
     } finally {
       if (!this.isStopped()) {
@@ -147,10 +155,13 @@
   private async readStore(): Promise<ListedMessage | undefined> {
     const {clock, directory, peers, onStoreFailure} = this.deps;
     const asOf = clock();
+    this.askedStoreAt = asOf;
     const result = await directory.list();
     if (result.ok) {
+      this.storeFailures = 0;
       return {kind: 'listed', members: result.value, from: 'store', asOf};
     }
+    this.storeFailures++;
     onStoreFailure('directory');
     const [peer] = peers.sample(1, undefined);
     const relayed = peer === undefined ? undefined : await this.askPeer(peer);
@@ -159,20 +170,32 @@
   }
 
   /**
-   * Asks a reader for its list: in a large fleet only a few VMs read the store.
-   * Returns none if this VM has to read it itself.
+   * Asks the watcher for its list, or reads the store: if this VM watches the
+   * store itself, or if the watcher's list is old.
    */
-  private async askReader(): Promise<ListedMessage | undefined> {
-    const {vm, peers, clock} = this.deps;
-    const readers = this.readers();
-    if (readers.length === 0 || readers.includes(vm)) return undefined;
-    const [reader] = peers.sample(1, undefined, readers);
-    if (reader === undefined || peers.isUnresponsive(reader)) return undefined;
-    const relayed = await this.askPeer(reader);
-    if (!relayed || clock() - relayed.asOf > MAX_RELAYED_AGE_MS) {
-      return undefined;
+  private async fetch(): Promise<ListedMessage | undefined> {
+    const {watcher, clock} = this.deps;
+    const name = watcher.next();
+    if (name === undefined) return this.readStore();
+    const relayed = await this.askPeer(name);
+    if (!relayed) watcher.failed(name);
+    const now = clock();
+    if (relayed && now - relayed.asOf <= MAX_RELAYED_AGE_MS) {
+      return {...relayed, from: 'watcher'};
     }
-    return {...relayed, from: 'reader'};
+    const {askedStoreAt, storeFailures} = this;
+    const decision = decideFollow(
+      {
+        confirmedAt: Math.max(this.asOf, relayed?.asOf ?? -Infinity),
+        maxAgeMs: MAX_RELAYED_AGE_MS,
+        askedStoreAt,
+        storeFailures,
+      },
+      now,
+    );
+    if (decision.kind === 'ask-store') return this.readStore();
+    if (relayed) this.tell({...relayed, from: 'peer'});
+    return undefined;
   }
 
   private async askPeer(
@@ -180,25 +203,24 @@
   ): Promise<Omit<ListedMessage, 'from'> | undefined> {
     const {peers, clock} = this.deps;
     const askedAt = clock();
-    const answer = await peers.directory(peer, PEER_TIMEOUT_MS);
-    if (!answer.ok || !answer.value || answer.value.members.length === 0) {
-      return undefined;
-    }
-    const {members, ageMs} = answer.value;
+    const known = this.received?.digest ?? '';
+    const answer = await peers.directory(peer, {known}, PEER_TIMEOUT_MS);
+    if (!answer.ok || !answer.value) return undefined;
+    const {digest, ageMs} = answer.value;
+    const isKnown = digest === this.received?.digest;
+    const members =
+      answer.value.members ?? (isKnown ? this.received?.members : undefined);
+    if (!members || members.length === 0) return undefined;
+    this.received = {members, digest, ageMs};
     return {kind: 'listed', members, asOf: askedAt - ageMs};
   }
 
-  /** The VMs that read the store for all others; none if every VM reads it. */
-  private readers(): readonly string[] {
-    const vms = this.deps.vms();
-    const readers = selectRepresentatives(READERS_KEY, vms);
-    return readers.length < vms.length ? readers : [];
-  }
-
-  private relay(): RelayedMembers | undefined {
+  private relay({known}: DirectoryRequest): RelayedMembers | undefined {
     if (this.asOf === -Infinity) return undefined;
+    const {digest} = this;
+    const ageMs = this.deps.clock() - this.asOf;
     const members = [...this.known.values()].map(item => item.listed);
-    return {members, ageMs: this.deps.clock() - this.asOf};
+    return known === digest ? {digest, ageMs} : {members, digest, ageMs};
   }
 
   private isStopped(): boolean {
@@ -211,7 +233,7 @@
     );
     return missing || this.pace === 'urgent'
       ? URGENT_LIST_INTERVAL_MS
-      : this.readers().length > 0
+      : this.deps.watcher.isFleetWatched()
         ? SHARED_LIST_INTERVAL_MS
         : LIST_INTERVAL_MS;
   }
@@ -242,9 +264,9 @@
       // A peer's list may lack a member because the store was unavailable.
       if (names.has(name) || from === 'peer') continue;
       const missingSince = item.missingSince ?? now;
-      // A reader only drops a member after this wait.
+      // A watcher only drops a member after this wait.
       const isExpired =
-        from === 'reader' || now - missingSince >= EVICT_MISSING_AFTER_MS;
+        from === 'watcher' || now - missingSince >= EVICT_MISSING_AFTER_MS;
       if (isExpired) this.known.delete(name);
       else this.known.set(name, {...item, missingSince});
     }
@@ -252,6 +274,7 @@
     const text = JSON.stringify(current);
     if (text === this.published) return;
     this.published = text;
+    this.digest = createHash('sha256').update(text).digest('base64');
     this.deps.log.info(
       {
         event: 'directory.changed',
--- a/packages/gateway/src/peers/gateway_handlers.ts
+++ b/packages/gateway/src/peers/gateway_handlers.ts
@@ -2,7 +2,11 @@
 import type {RelayRequest, RelayedRows} from '../fleet/relayed_rows.js';
 import type {RelayedPositions} from '../fleet/position_task.js';
 import type {RelayedMembers} from '../operators/directory_task.js';
-import type {ConfigurationRequest, StopRequest} from './gateway_router.js';
+import type {
+  ConfigurationRequest,
+  DirectoryRequest,
+  StopRequest,
+} from './gateway_router.js';
 
 /** A VM's newest state from the operators, as it is sent to a peer. */
 export interface RelayedConfiguration {
@@ -35,7 +39,7 @@
     req: ConfigurationRequest,
   ): Promise<RelayedConfiguration | null>;
   /** Returns this VM's list of members, if it has one. */
-  abstract directory(): Promise<RelayedMembers | null>;
+  abstract directory(req: DirectoryRequest): Promise<RelayedMembers | null>;
   /** Returns the log positions of the primaries that this VM knows. */
   abstract positions(): Promise<RelayedPositions>;
   /** Returns the number of tokens that this VM transfers to the caller. */
--- a/packages/gateway/src/peers/gateway_router.ts
+++ b/packages/gateway/src/peers/gateway_router.ts
@@ -48,6 +48,14 @@
  */
 export type ConfigurationRequest = z.infer<typeof CONFIGURATION_SCHEMA>;
 
+const DIRECTORY_SCHEMA = z.object({
+  /** The digest of the list that the caller has; empty for none. */
+  known: z.string(),
+});
+
+/** Asks a VM for its list of members, unless the caller has the same one. */
+export type DirectoryRequest = z.infer<typeof DIRECTORY_SCHEMA>;
+
 /** The remote procedures that VMs call on each other. */
 export const GATEWAY_ROUTER = t.router({
   /** Answers at once, which shows that the VM is alive. */
@@ -73,7 +81,9 @@
     .input(CONFIGURATION_SCHEMA)
     .mutation(({ctx, input}) => ctx.handlers.configuration(input)),
   /** Returns the VM's list of members and its age. */
-  directory: t.procedure.mutation(({ctx}) => ctx.handlers.directory()),
+  directory: t.procedure
+    .input(DIRECTORY_SCHEMA)
+    .mutation(({ctx, input}) => ctx.handlers.directory(input)),
   /** Returns the log positions of the primaries that the VM knows. */
   positions: t.procedure.mutation(({ctx}) => ctx.handlers.positions()),
   /** Transfers tokens of a workspace to the caller. */
--- a/packages/gateway/src/peers/peer_set.ts
+++ b/packages/gateway/src/peers/peer_set.ts
@@ -16,6 +16,7 @@
 import type {RelayedConfiguration} from './gateway_handlers.js';
 import type {
   ConfigurationRequest,
+  DirectoryRequest,
   GatewayRouter,
   StopRequest,
 } from './gateway_router.js';
@@ -145,8 +146,12 @@
   }
 
   /** Asks a VM for its list of members. */
-  directory(vm: string, timeoutMs: number): Answer<RelayedMembers | null> {
-    return this.call(vm, timeoutMs, (c, o) => c.directory.mutate(undefined, o));
+  directory(
+    vm: string,
+    req: DirectoryRequest,
+    timeoutMs: number,
+  ): Answer<RelayedMembers | null> {
+    return this.call(vm, timeoutMs, (c, o) => c.directory.mutate(req, o));
   }
 
   /** Asks a VM for the log positions of the primaries that it knows. */
