Let the watchers' observations decide whether a primary is replaced

Cause: a VM that suspected a primary asked all others, and each without a recent answer queried its status over a new connection: 194 connections and slots at a primary that may only be overloaded, which then looks unreachable to more VMs.

Change: in fleets of more than 12 VMs the watchers of all data centres are asked; if most of them do not answer, all VMs are, as before.

--- a/packages/core/src/watching/__tests__/watching.test.ts
+++ b/packages/core/src/watching/__tests__/watching.test.ts
@@ -1,5 +1,6 @@
 import {describe, expect, it} from 'vitest';
 import {decideFollow} from '../decide_follow.js';
+import {selectObservers} from '../select_observers.js';
 import {selectWatchers} from '../select_watchers.js';
 
 /** A fleet with VMs spread over the data centres in turn. */
@@ -31,6 +32,16 @@
   });
 });
 
+describe('selectObservers', () => {
+  // Guards against a status query by every VM of a large fleet, and against a
+  // data centre whose VMs are not asked.
+  it.each([8, 200])('selects the observers of %d VMs', size => {
+    const vms = fleet(size);
+    const observers = selectObservers(vms).map(vm => `${vm} in ${vms.get(vm)}`);
+    expect(observers).toMatchSnapshot();
+  });
+});
+
 const CASES: ReadonlyArray<readonly [string, number, number, number]> = [
   ['confirmed just now', 10_000, -Infinity, 0],
   ['about to be too old', 7_100, -Infinity, 0],
--- a/packages/core/src/watching/index.ts
+++ b/packages/core/src/watching/index.ts
@@ -1,2 +1,3 @@
 export * from './decide_follow.js';
+export {selectObservers} from './select_observers.js';
 export {selectWatchers} from './select_watchers.js';
--- a/packages/gateway/src/leadership/leadership_task.ts
+++ b/packages/gateway/src/leadership/leadership_task.ts
@@ -2,7 +2,6 @@
   SUSPECT_AFTER_MS,
   decideCoordinatorLease,
   earliestStoreTime,
-  evaluateSuspicion,
   latestStoreTime,
   mayHoldPrimaryLease,
   rankDelayMs,
@@ -11,14 +10,14 @@
 import type {
   CoordinatorLease,
   PrimaryChangeReason,
-  PrimaryObservation,
   SuspicionOutcome,
 } from '@pistachiorill/core';
-import {Task, ask} from '@pistachiorill/tasks';
+import {Task} from '@pistachiorill/tasks';
 import type {DatabaseTask} from '../database/database_task.js';
 import {COORDINATOR_LEASE_KEY, leadershipKey} from '../fleet/fleet_rows.js';
 import {isStoreResponsive, isProven} from '../fleet/fleet_view.js';
 import type {ListedMember} from '../ports/member_directory.js';
+import {OBSERVATION_TIMEOUT_MS, collectVerdict} from './collect_verdict.js';
 import {PrimaryChange} from './primary_change.js';
 import type {
   PrimaryChangeOutcome,
@@ -27,8 +26,6 @@
 
 /** How often all groups are checked for a needed primary change. */
 const REVIEW_INTERVAL_MS = 250;
-/** Leaves a peer time to try to reach the primary before it answers. */
-const OBSERVATION_TIMEOUT_MS = 800;
 /** First pause between evaluations of a primary; doubles up to the maximum. */
 const EVALUATION_INTERVAL_MS = 400;
 const MAX_EVALUATION_INTERVAL_MS = 2_000;
@@ -258,29 +255,13 @@
     await this.startChange(group, change);
   }
 
-  /** Collects every VM's observation of a primary and evaluates them. */
   private async collectVerdict(
     group: string,
     primary: string,
   ): Promise<SuspicionOutcome> {
-    const {peers, log} = this.deps;
     const database = this.deps.database(group);
     if (!database) return 'keep';
-    const views: Array<PrimaryObservation | 'vm-down'> = await Promise.all([
-      ask<PrimaryObservation>(reply => database.tell({kind: 'sight', reply})),
-      ...peers.names.map(async name => {
-        const answer = await peers.sight(name, group, OBSERVATION_TIMEOUT_MS);
-        if (answer.ok) return answer.value;
-        const isDown = answer.err.detail.includes('ECONNREFUSED');
-        return isDown ? 'vm-down' : 'unknown';
-      }),
-    ]);
-    const verdict = evaluateSuspicion(views);
-    log.info(
-      {event: 'primary.judged', group, primary, views, verdict},
-      'evaluated the observations of a suspected primary',
-    );
-    return verdict;
+    return collectVerdict(group, primary, database, this.deps);
   }
 
   private async startChange(
