--- a/packages/gateway/src/daemon/gateway_daemon.ts
+++ b/packages/gateway/src/daemon/gateway_daemon.ts
@@ -16,6 +16,7 @@
 import {EMPTY_FLEET_VIEW, isProven, provenShares} from '../fleet/fleet_view.js';
 import type {FleetView} from '../fleet/fleet_view.js';
 import {PositionTask} from '../fleet/position_task.js';
+import {registeredAt} from '../fleet/registration.js';
 import {ShareAllocator} from '../fleet/share_allocator.js';
 import {LeadershipTask} from '../leadership/leadership_task.js';
 import {ConfigurationTask} from '../operators/configuration_task.js';
@@ -23,6 +24,7 @@
 import {GATEWAY_ROUTER} from '../peers/gateway_router.js';
 import {PeerSet} from '../peers/peer_set.js';
 import {newWatcherChoice} from '../peers/watcher_choice.js';
+import type {WatchedState, WatcherChoice} from '../peers/watcher_choice.js';
 import type {CallerLink, CallerServer} from '../ports/caller_link.js';
 import type {OperatorState} from '../ports/configuration_source.js';
 import type {ListedMember} from '../ports/member_directory.js';
@@ -100,21 +102,23 @@
     };
     const {name: vm, data_centre: dataCentre} = settings.vm;
     const incarnation = randomUUID();
+    const entry = {peers: settings.listen.peers, dataCentre, incarnation};
     const view = (): FleetView => this.currentView();
-    const newWatcher = () => newWatcherChoice(settings.vm, view, peers);
+    const newWatcher = (purpose: WatchedState): WatcherChoice =>
+      newWatcherChoice(settings.vm, view, {peers, purpose, log});
     this.fleet = new FleetTask({
       vm,
-      entry: {peers: settings.listen.peers, dataCentre, incarnation},
+      entry,
       store: this.ports.store,
       peers,
-      watcher: newWatcher(),
+      watcher: newWatcher('shared-rows'),
       clock,
       onView: view => this.applyView(view),
       onStoreFailure,
       log,
       onFailed,
     });
-    const watcher = newWatcher();
+    const watcher = newWatcher('positions');
     this.positions = new PositionTask({
       groups: () => this.databases.groups,
       database: group => this.databases.get(group),
@@ -193,12 +197,9 @@
     });
     this.configuration = new ConfigurationTask({
       source: this.ports.source,
-      registeredAt: () => {
-        const own = view().rows.vms.get(vm);
-        return own?.value.incarnation === incarnation ? own.version : undefined;
-      },
+      registeredAt: () => registeredAt({vm, entry}, view().rows),
       peers,
-      watcher: newWatcher(),
+      watcher: newWatcher('configuration'),
       clock,
       applyWithinMs: settings.limits.configuration_apply_ms,
       onConfirmed: () => this.metrics.configurationConfirmed(),
@@ -208,7 +209,7 @@
       onFailed,
     });
     this.directory = new DirectoryTask({
-      watcher: newWatcher(),
+      watcher: newWatcher('members'),
       directory: this.ports.directory,
       peers,
       clock,
--- a/packages/gateway/src/fleet/registration.ts
+++ b/packages/gateway/src/fleet/registration.ts
@@ -10,6 +10,15 @@
   readonly entry: VmRegistration;
 }
 
+/** Returns the store's version of a process's registration, if it is known. */
+export function registeredAt(
+  {vm, entry}: RegisteredProcess,
+  rows: FleetRows,
+): number | undefined {
+  const own = rows.vms.get(vm);
+  return own?.value.incarnation === entry.incarnation ? own.version : undefined;
+}
+
 /**
  * A VM counts as joined once it has all rows up to its own registration. It then
  * has every primary change whose coordinator could not yet see that this VM is
@@ -20,9 +29,8 @@
   rows: FleetRows,
   version: number,
 ): FleetView['joined'] {
-  const own = rows.vms.get(vm);
-  const isKnown =
-    own?.value.incarnation === entry.incarnation && own.version <= version;
+  const ownVersion = registeredAt({vm, entry}, rows);
+  const isKnown = ownVersion !== undefined && ownVersion <= version;
   const revoked = rows.shares && isRevoked(rows.shares.value, vm);
   return isKnown && !revoked ? 'joined' : 'not-joined';
 }
--- a/packages/gateway/src/peers/watcher_choice.ts
+++ b/packages/gateway/src/peers/watcher_choice.ts
@@ -1,9 +1,14 @@
 import {selectWatchers} from '@pistachiorill/core';
+import type {Logger} from '@pistachiorill/telemetry';
 import type {GatewaySettings} from '../daemon/gateway_settings.js';
 import {dataCentresOf} from '../fleet/fleet_rows.js';
 import type {FleetView} from '../fleet/fleet_view.js';
 import type {PeerSet} from './peer_set.js';
 
+/** What a VM receives from a watcher. */
+export type WatchedState =
+  'shared-rows' | 'configuration' | 'members' | 'positions';
+
 /** What the choice of a watcher depends on. */
 export interface WatcherChoiceDependencies {
   readonly vm: string;
@@ -11,19 +16,22 @@
   /** The registered VMs and their data centres. */
   readonly dataCentreByVm: () => ReadonlyMap<string, string>;
   readonly peers: PeerSet;
+  /** What this VM receives from the watcher. */
+  readonly purpose: WatchedState;
+  readonly log: Logger;
 }
 
 /** Creates the choice of a VM from its view of the fleet. */
 export function newWatcherChoice(
   {name, data_centre}: GatewaySettings['vm'],
   view: () => FleetView,
-  peers: PeerSet,
+  deps: Pick<WatcherChoiceDependencies, 'peers' | 'purpose' | 'log'>,
 ): WatcherChoice {
   return new WatcherChoice({
     vm: name,
     dataCentre: data_centre,
     dataCentreByVm: () => dataCentresOf(view().rows),
-    peers,
+    ...deps,
   });
 }
 
@@ -31,6 +39,7 @@
 export class WatcherChoice {
   private current: string | undefined;
   private silent: string | undefined;
+  private logged: string | undefined;
 
   constructor(private readonly deps: WatcherChoiceDependencies) {}
 
@@ -46,6 +55,15 @@
     const others = watchers.filter(name => name !== this.silent);
     const candidates = others.length > 0 ? others : watchers;
     [this.current] = peers.sample(1, this.current, candidates);
+    if (this.current !== this.logged) {
+      const {purpose, log} = this.deps;
+      const watcher = this.current;
+      log.info(
+        {event: 'watcher.chosen', purpose, watcher, silent: this.silent},
+        'follows another watcher',
+      );
+      this.logged = watcher;
+    }
     return this.current;
   }
 
--- a/packages/gateway/src/testing/fake_fleet_peers.ts
+++ b/packages/gateway/src/testing/fake_fleet_peers.ts
@@ -7,6 +7,7 @@
 import type {ConfigurationRequest} from '../peers/gateway_router.js';
 import {PeerSet} from '../peers/peer_set.js';
 import {WatcherChoice} from '../peers/watcher_choice.js';
+import {silentLogger} from './fake_group.js';
 
 /** What one VM of a fake fleet answers its peers. */
 export interface FakePeerHandlers {
@@ -33,6 +34,8 @@
       dataCentre: this.dataCentreByVm.get(vm) ?? '',
       dataCentreByVm: () => this.dataCentreByVm,
       peers,
+      purpose: 'shared-rows',
+      log: silentLogger(),
     });
   }
 }
