Ask one rate holder for a token first, and further ones if it has none

Change: a VM without a share asks one holder that holds enough; if it has none, two further ones at once before the pause. Rate holders ask two as before.

Measured in a test: 1, 2 and 3 calls with 0, 1 and 2 empty holders, admitted within 60 ms each.

--- a/packages/core/src/quota/transfer/__tests__/transfer.test.ts
+++ b/packages/core/src/quota/transfer/__tests__/transfer.test.ts
@@ -96,7 +96,7 @@
     const partialBucket = {...emptyBucket(0), tokens: 0.5};
     const limit = {rate: 4, burst: 4};
     const asked = tokensToRequest(emptyBucket(0), 1, 0);
-    const peers = requestedPeerCount(limit, SHARE_PPM, asked);
+    const peers = requestedPeerCount(limit, SHARE_PPM, asked, 'rate-holder');
     const given = tokensToTransfer(partialBucket, asked / peers, 0);
     expect({asked, peers, sum: peers * given}).toMatchSnapshot();
     expect(peers * given).toBeGreaterThanOrEqual(1);
--- a/packages/core/src/quota/transfer/decide_transfer.ts
+++ b/packages/core/src/quota/transfer/decide_transfer.ts
@@ -9,7 +9,12 @@
 const REFILL_TARGET_MS = 600;
 /** A smaller transfer is not worth a message. */
 const MIN_TRANSFER_TOKENS = 0.05;
+/**
+ * A rate holder asks two peers, as one may have no tokens. A VM without a share
+ * asks for each operation and so starts with one peer.
+ */
 const MIN_REQUESTED_PEERS = 2;
+const MIN_REQUESTED_RATE_HOLDERS = 1;
 const MAX_REQUESTED_PEERS = 8;
 /** A donor keeps the tokens that its own demand needs within this time. */
 const DEMAND_RESERVE_MS = 400;
@@ -47,11 +52,11 @@
   limit: QuotaLimits,
   sharePpm: number,
   requested: number,
+  role: 'rate-holder' | 'without-share',
 ): number {
+  const minPeers =
+    role === 'rate-holder' ? MIN_REQUESTED_PEERS : MIN_REQUESTED_RATE_HOLDERS;
   const heldPerPeer = (limit.burst * sharePpm) / FULL_SHARE_PPM;
   const neededPeers = Math.ceil((2 * requested) / Math.max(heldPerPeer, 0.01));
-  return Math.min(
-    MAX_REQUESTED_PEERS,
-    Math.max(MIN_REQUESTED_PEERS, neededPeers),
-  );
+  return Math.min(MAX_REQUESTED_PEERS, Math.max(minPeers, neededPeers));
 }
--- a/packages/gateway/src/quota/__tests__/quota_task.test.ts
+++ b/packages/gateway/src/quota/__tests__/quota_task.test.ts
@@ -1,9 +1,10 @@
 import {describe, expect, it} from 'vitest';
-import {Random} from '@pistachiorill/core';
-import {ask} from '@pistachiorill/tasks';
+import {Random, ok} from '@pistachiorill/core';
+import {ask, sleep} from '@pistachiorill/tasks';
 import {PeerSet} from '../../peers/peer_set.js';
 import {silentLogger} from '../../testing/fake_group.js';
 import {QuotaTask} from '../quota_task.js';
+import type {Admission} from '../quota_task.js';
 
 const LIMITS = new Map([['co-op', {rate: 40, burst: 40}]]);
 
@@ -38,6 +39,26 @@
   );
 }
 
+/** Rate holders of which the first that are asked have no tokens. */
+class HoldingPeers extends PeerSet {
+  calls = 0;
+
+  constructor(
+    vms: readonly string[],
+    private readonly empty: number,
+  ) {
+    super(new Random(1));
+    this.update(vms.map(vm => ({vm, address: '127.0.0.1:1'})));
+  }
+
+  override async tokens(vm: string, unusedWorkspace: string, asked: number) {
+    this.calls++;
+    const isEmpty = this.calls <= this.empty;
+    await sleep(2);
+    return ok(isEmpty ? 0 : asked);
+  }
+}
+
 describe('QuotaTask', () => {
   // Guards against refusals after a restart for want of the tokens that accrued
   // while the VM started, and against counting that time again with each
@@ -52,4 +73,38 @@
       expect(await tokensAt(now, limitsAt)).toMatchSnapshot();
     },
   );
+
+  // Guards against two calls between VMs for each operation of a large fleet,
+  // and against a refusal although another rate holder has tokens.
+  it.each([0, 1, 2, 4])(
+    'asks one rate holder after the other: %d have no tokens',
+    async empty => {
+      const holders = ['vm-1', 'vm-2', 'vm-3', 'vm-4'];
+      const peers = new HoldingPeers(holders, empty);
+      const task = new QuotaTask({
+        clock: () => performance.now(),
+        startedAt: 0,
+        sharePpm: () => 0,
+        rateHolders: () => holders,
+        hasProvenShares: () => true,
+        peers,
+        log: silentLogger(),
+        onFailed: err => {
+          throw err;
+        },
+      });
+      task.tell({kind: 'limits', limits: LIMITS});
+      const until = performance.now() + 60;
+      const admission = await ask<Admission>(reply =>
+        task.tell({
+          kind: 'admit',
+          workspace: 'co-op',
+          until,
+          untilAtStart: until,
+          reply,
+        }),
+      );
+      expect({kind: admission.kind, calls: peers.calls}).toMatchSnapshot();
+    },
+  );
 });
--- a/packages/gateway/src/quota/quota_task.ts
+++ b/packages/gateway/src/quota/quota_task.ts
@@ -15,6 +15,8 @@
 
 /** How often a VM asks its peers for tokens of one workspace. */
 const ASK_INTERVAL_MS = 60;
+/** After this many peers without tokens the VM waits before it asks again. */
+const MAX_EMPTY_PEERS = 3;
 /** How long a VM waits before it asks again after peers had no tokens. */
 const NO_TOKENS_BACKOFF_MS = 250;
 /**
@@ -94,6 +96,8 @@
   askAt: number;
   /** The peer that last gave tokens; it is asked first. */
   donor: string | undefined;
+  /** The peers that had no tokens since the last one that gave some. */
+  readonly emptyPeers: Set<string>;
   /** Decisions since the last log record. */
   report: {startedAt: number; admitted: number; refused: number};
 }
@@ -168,6 +172,7 @@
           waiting: [],
           askAt: -Infinity,
           donor: undefined,
+          emptyPeers: new Set(),
           report: {startedAt: now, admitted: 0, refused: 0},
         });
       }
@@ -272,12 +277,23 @@
     return holderCount > 0 ? FULL_SHARE_PPM / holderCount : 0;
   }
 
+  private roleIn(workspace: string): 'rate-holder' | 'without-share' {
+    return this.deps.sharePpm(workspace) > 0 ? 'rate-holder' : 'without-share';
+  }
+
   private askPeers(workspace: string, account: Account, tokens: number): void {
     const {peers, rateHolders} = this.deps;
+    const holders = rateHolders(workspace);
+    const candidates = holders.filter(name => !account.emptyPeers.has(name));
     const names = peers.sample(
-      requestedPeerCount(account.limits, this.rateHolderPpm(workspace), tokens),
+      requestedPeerCount(
+        account.limits,
+        this.rateHolderPpm(workspace),
+        tokens,
+        this.roleIn(workspace),
+      ),
       account.donor,
-      rateHolders(workspace),
+      candidates.length > 0 ? candidates : holders,
     );
     const tokensPerPeer = tokens / Math.max(1, names.length);
     for (const from of names) {
@@ -302,14 +318,23 @@
     if (!account) return;
     if (tokens > 0) {
       account.donor = from;
+      account.emptyPeers.clear();
       account.bucket = {
         ...account.bucket,
         tokens: Math.min(account.limits.burst, account.bucket.tokens + tokens),
       };
     } else {
       if (account.donor === from) account.donor = undefined;
-      if (account.donor === undefined) {
+      account.emptyPeers.add(from);
+      const tried = account.emptyPeers.size;
+      if (
+        this.roleIn(workspace) === 'without-share' &&
+        tried < MAX_EMPTY_PEERS
+      ) {
+        account.askAt = Math.min(account.askAt, now);
+      } else if (account.donor === undefined) {
         account.askAt = Math.max(account.askAt, now + NO_TOKENS_BACKOFF_MS);
+        account.emptyPeers.clear();
       }
     }
     this.serve(workspace, account, now);
