Hold requests to watchers until something changes

Cause: each VM asked its watcher for the list of members once a second, for positions up to twice a second, and for rows and the configuration every 1.5 s: about a thousand calls a second at 195 VMs.

Change: the list of members is held at the watcher until it changes, 2 s at most; rows and configuration are held for as long as the follower's copy stays recent, 3 s at most; newer positions are asked for when the newest is 0.9 s old.

Measured in tests: a held request for the list is answered at its change.

--- a/packages/core/src/watching/decide_follow.ts
+++ b/packages/core/src/watching/decide_follow.ts
@@ -1,5 +1,5 @@
 /** The longest time for which a watcher holds the request of a follower. */
-const MAX_FOLLOW_MS = 1_500;
+const MAX_FOLLOW_MS = 3_000;
 const MIN_FOLLOW_MS = 50;
 /**
  * A follower asks a store that did not answer at this interval, after a second
--- a/packages/gateway/src/database/recent_positions.ts
+++ b/packages/gateway/src/database/recent_positions.ts
@@ -11,7 +11,7 @@
 type CheckoutMessage = Extract<DatabaseMessage, {kind: 'check-out'}>;
 
 /** Newer positions are requested once the newest known one is this old. */
-const REFRESH_AGE_MS = 500;
+const REFRESH_AGE_MS = 900;
 
 /** Whether a read needs a more recent position of the primary. */
 type PositionNeed =
--- a/packages/gateway/src/operators/__tests__/directory_task.test.ts
+++ b/packages/gateway/src/operators/__tests__/directory_task.test.ts
@@ -46,9 +46,9 @@
     if (!this.relayed) return ok(null);
     const {members, ageMs} = this.relayed;
     const digest = JSON.stringify(members);
-    if (known === digest) return ok<RelayedMembers>({digest, ageMs});
+    if (known === digest) return ok<RelayedMembers>({digest, ageMs, heldMs: 0});
     this.listsSent++;
-    return ok<RelayedMembers>({members, digest, ageMs});
+    return ok<RelayedMembers>({members, digest, ageMs, heldMs: 0});
   }
 }
 
@@ -158,6 +158,25 @@
     expect({views, listsSent: peers.listsSent}).toMatchSnapshot();
   });
 
+  // Guards against a change that followers receive only when they ask again.
+  it('holds a request until the list changes', async () => {
+    const {task, directory, list} = start(8, 'vm-000');
+    await list();
+    const relay = (known: string, waitMs: number) =>
+      ask<RelayedMembers | undefined>(reply =>
+        task.tell({kind: 'relay', request: {known, waitMs}, reply}),
+      );
+    const first = await relay('', 2_000);
+    const held = relay(first?.digest ?? '', 2_000);
+    const unchanged = await relay(first?.digest ?? '', 10);
+    directory.members = [LEAVING];
+    await list();
+    const states = [first, unchanged, await held].map(
+      answer => answer?.members?.map(item => item.state) ?? 'unchanged',
+    );
+    expect(states).toMatchSnapshot();
+  });
+
   // Guards against reads by the whole fleet while the store is unavailable.
   it('reads an unavailable store rarely', async () => {
     const {directory, peers, offset, list} = start(40, findVm(40, 'other'));
@@ -179,7 +198,7 @@
     await list();
     offset.ms = 500;
     const relayed = await ask<RelayedMembers | undefined>(reply =>
-      task.tell({kind: 'relay', request: {known: ''}, reply}),
+      task.tell({kind: 'relay', request: {known: '', waitMs: 0}, reply}),
     );
     expect(relayed?.ageMs).toBeGreaterThanOrEqual(3_500);
   });
--- a/packages/gateway/src/operators/directory_task.ts
+++ b/packages/gateway/src/operators/directory_task.ts
@@ -5,6 +5,7 @@
 import type {Logger} from '@pistachiorill/telemetry';
 import type {DirectoryRequest} from '../peers/gateway_router.js';
 import type {PeerSet} from '../peers/peer_set.js';
+import {WaitingReplies} from '../peers/waiting_replies.js';
 import type {WatcherChoice} from '../peers/watcher_choice.js';
 import type {ListedMember, MemberDirectory} from '../ports/member_directory.js';
 
@@ -17,6 +18,10 @@
 const SHARED_LIST_INTERVAL_MS = 1_000;
 /** If a watcher's list is older than this, the VM reads the store itself. */
 const MAX_RELAYED_AGE_MS = 1_500;
+/** How long a watcher holds a request until the list changes. */
+const FOLLOW_MS = 2_000;
+/** The pause of a follower between two requests that are held. */
+const FOLLOWED_LIST_INTERVAL_MS = 50;
 /**
  * The interval after a member did not answer and while one is missing from the
  * list, as its entry may have changed.
@@ -42,6 +47,8 @@
   readonly members?: readonly ListedMember[] | undefined;
   readonly digest: string;
   readonly ageMs: number;
+  /** How long the answer was held. */
+  readonly heldMs: number;
 }
 
 /** Messages that the directory task handles. */
@@ -99,7 +106,8 @@
   private published = '';
   private digest = '';
   /** The list that a peer sent last. */
-  private received: RelayedMembers | undefined;
+  private received: Pick<RelayedMembers, 'members' | 'digest'> | undefined;
+  private readonly waitingPeers = new WaitingReplies();
   private askedStoreAt = -Infinity;
   private storeFailures = 0;
 
@@ -116,13 +124,14 @@
         this.mergeList(message);
         return;
       case 'relay':
-        message.reply.answer(this.relay(message.request));
+        this.relay(message.request, message.reply);
         return;
       case 'list-soon':
         this.listSoon();
         return;
       case 'stop':
         this.state = 'stopped';
+        this.waitingPeers.release();
         clearTimeout(this.timer);
         return;
     }
@@ -164,7 +173,8 @@
     this.storeFailures++;
     onStoreFailure('directory');
     const [peer] = peers.sample(1, undefined);
-    const relayed = peer === undefined ? undefined : await this.askPeer(peer);
+    const relayed =
+      peer === undefined ? undefined : await this.askPeer(peer, 0);
     if (relayed) this.tell({...relayed, from: 'peer'});
     return undefined;
   }
@@ -177,7 +187,9 @@
     const {watcher, clock} = this.deps;
     const name = watcher.next();
     if (name === undefined) return this.readStore();
-    const relayed = await this.askPeer(name);
+    // A follower that has no list, or an urgent need, is answered at once.
+    const waitMs = this.received && this.pace === 'usual' ? FOLLOW_MS : 0;
+    const relayed = await this.askPeer(name, waitMs);
     if (!relayed) watcher.failed(name);
     const now = clock();
     if (relayed && now - relayed.asOf <= MAX_RELAYED_AGE_MS) {
@@ -200,27 +212,48 @@
 
   private async askPeer(
     peer: string,
+    waitMs: number,
   ): Promise<Omit<ListedMessage, 'from'> | undefined> {
     const {peers, clock} = this.deps;
     const askedAt = clock();
     const known = this.received?.digest ?? '';
-    const answer = await peers.directory(peer, {known}, PEER_TIMEOUT_MS);
+    const answer = await peers.directory(
+      peer,
+      {known, waitMs},
+      waitMs + PEER_TIMEOUT_MS,
+    );
     if (!answer.ok || !answer.value) return undefined;
-    const {digest, ageMs} = answer.value;
+    const {digest, ageMs, heldMs} = answer.value;
     const isKnown = digest === this.received?.digest;
     const members =
       answer.value.members ?? (isKnown ? this.received?.members : undefined);
     if (!members || members.length === 0) return undefined;
-    this.received = {members, digest, ageMs};
-    return {kind: 'listed', members, asOf: askedAt - ageMs};
+    this.received = {members, digest};
+    return {kind: 'listed', members, asOf: askedAt + heldMs - ageMs};
   }
 
-  private relay({known}: DirectoryRequest): RelayedMembers | undefined {
-    if (this.asOf === -Infinity) return undefined;
-    const {digest} = this;
-    const ageMs = this.deps.clock() - this.asOf;
-    const members = [...this.known.values()].map(item => item.listed);
-    return known === digest ? {digest, ageMs} : {members, digest, ageMs};
+  /** Answers a peer, if it has the current list only once that changed. */
+  private relay(
+    {known, waitMs}: DirectoryRequest,
+    reply: Reply<RelayedMembers | undefined>,
+  ): void {
+    const receivedAt = this.deps.clock();
+    const answer = (): void => {
+      if (this.asOf === -Infinity) {
+        reply.answer(undefined);
+        return;
+      }
+      const {digest} = this;
+      const now = this.deps.clock();
+      const times = {ageMs: now - this.asOf, heldMs: now - receivedAt};
+      const members = [...this.known.values()].map(item => item.listed);
+      reply.answer(
+        known === digest ? {digest, ...times} : {members, digest, ...times},
+      );
+    };
+    const isHeld = known === this.digest && !this.isStopped();
+    if (isHeld && waitMs > 0) this.waitingPeers.add(answer, waitMs);
+    else answer();
   }
 
   private isStopped(): boolean {
@@ -233,9 +266,15 @@
     );
     return missing || this.pace === 'urgent'
       ? URGENT_LIST_INTERVAL_MS
-      : this.deps.watcher.isFleetWatched()
-        ? SHARED_LIST_INTERVAL_MS
-        : LIST_INTERVAL_MS;
+      : this.usualIntervalMs();
+  }
+
+  private usualIntervalMs(): number {
+    const {watcher} = this.deps;
+    if (!watcher.isFleetWatched()) return LIST_INTERVAL_MS;
+    return watcher.next() === undefined
+      ? SHARED_LIST_INTERVAL_MS
+      : FOLLOWED_LIST_INTERVAL_MS;
   }
 
   private listSoon(): void {
@@ -286,5 +325,6 @@
       'the list of members changed',
     );
     this.deps.onMembers(current);
+    this.waitingPeers.release();
   }
 }
--- a/packages/gateway/src/peers/gateway_router.ts
+++ b/packages/gateway/src/peers/gateway_router.ts
@@ -51,6 +51,7 @@
 const DIRECTORY_SCHEMA = z.object({
   /** The digest of the list that the caller has; empty for none. */
   known: z.string(),
+  waitMs: HOLD_MS,
 });
 
 /** Asks a VM for its list of members, unless the caller has the same one. */
