Select watchers and sample peers without walks over the whole fleet

Cause: each read and each call to a peer built a map of all VMs, ordered those of the data centre by hash, or sorted all peers. Change: the watchers are selected once per change of the fleet; a sample among given peers looks at these only.

--- a/packages/gateway/src/peers/peer_set.ts
+++ b/packages/gateway/src/peers/peer_set.ts
@@ -77,13 +77,13 @@
     preferred: string | undefined,
     among?: readonly string[],
   ): readonly string[] {
-    const names = [...this.peers]
-      .filter(([vm]) => among?.includes(vm) ?? true)
-      .map(([vm, peer]) => ({
+    const candidates = (among ?? this.names).filter(vm => this.peers.has(vm));
+    const names = candidates
+      .map(vm => ({
         vm,
         rank:
           (vm === preferred ? -1 : 0) +
-          (peer.failures >= MAX_CONSECUTIVE_FAILURES ? 1 : 0) +
+          (this.isUnresponsive(vm) ? 1 : 0) +
           this.random.fraction() / 2,
       }))
       .sort((a, b) => a.rank - b.rank)
--- a/packages/gateway/src/peers/watcher_choice.ts
+++ b/packages/gateway/src/peers/watcher_choice.ts
@@ -2,6 +2,7 @@
 import type {Logger} from '@pistachiorill/telemetry';
 import type {GatewaySettings} from '../daemon/gateway_settings.js';
 import {dataCentresOf} from '../fleet/fleet_rows.js';
+import type {FleetRows} from '../fleet/fleet_rows.js';
 import type {FleetView} from '../fleet/fleet_view.js';
 import type {PeerSet} from './peer_set.js';
 
@@ -27,10 +28,17 @@
   view: () => FleetView,
   deps: Pick<WatcherChoiceDependencies, 'peers' | 'purpose' | 'log'>,
 ): WatcherChoice {
+  let rows: FleetRows | undefined;
+  let dataCentreByVm: ReadonlyMap<string, string> = new Map();
   return new WatcherChoice({
     vm: name,
     dataCentre: data_centre,
-    dataCentreByVm: () => dataCentresOf(view().rows),
+    dataCentreByVm: () => {
+      const current = view().rows;
+      if (current !== rows) dataCentreByVm = dataCentresOf(current);
+      rows = current;
+      return dataCentreByVm;
+    },
     ...deps,
   });
 }
@@ -40,6 +48,8 @@
   private current: string | undefined;
   private silent: string | undefined;
   private logged: string | undefined;
+  private selectedFrom: ReadonlyMap<string, string> | undefined;
+  private selected: readonly string[] = [];
 
   constructor(private readonly deps: WatcherChoiceDependencies) {}
 
@@ -72,10 +82,15 @@
     return this.watchers().length > 0;
   }
 
+  /** The watchers, which are selected again only when the fleet changes. */
   private watchers(): readonly string[] {
     const {vm, dataCentre, dataCentreByVm} = this.deps;
     const vms = dataCentreByVm();
-    return vms.has(vm) ? selectWatchers(vms, dataCentre) : [];
+    if (vms !== this.selectedFrom) {
+      this.selectedFrom = vms;
+      this.selected = vms.has(vm) ? selectWatchers(vms, dataCentre) : [];
+    }
+    return this.selected;
   }
 
   /** Records that a watcher did not answer, so that another one is tried. */
