Pause after an answer of a watcher that brings no newer proof

Cause: a watcher that had read an older state of the store, as after a lost history, has a newer proof and older rows. Its followers reject the rows, keep their proof, and asked again at once, without any pause.

Change: a follower pauses 0.15 s after an answer that did not renew its proof.

--- a/packages/entry/src/membership/membership_task.ts
+++ b/packages/entry/src/membership/membership_task.ts
@@ -156,12 +156,11 @@
   }
 
   private perform(action: MembershipAction): void {
-    if (action.kind === 'probe') {
-      this.runInBackground(() => this.probe(action.target));
-    } else {
-      const {target, via} = action;
-      this.runInBackground(() => this.probeIndirectly(target, via));
-    }
+    this.runInBackground(() =>
+      action.kind === 'probe'
+        ? this.probe(action.target)
+        : this.probeIndirectly(action.target, action.via),
+    );
   }
 
   private async probe(target: PeerRecord): Promise<void> {
--- a/packages/gateway/src/fleet/__tests__/follow_watcher.test.ts
+++ b/packages/gateway/src/fleet/__tests__/follow_watcher.test.ts
@@ -197,6 +197,28 @@
     },
   );
 
+  // Guards against requests without a pause to a watcher whose copy is from an
+  // older state of the store, although its proof is newer.
+  it('pauses if the answers of its watcher are older than its copy', async () => {
+    for (const vm of fleet.watchers) {
+      fleet.peers.handlers.set(vm, {
+        relay: async () => ({
+          rows: [],
+          removed: [],
+          version: 1,
+          after: 0,
+          asOfStoreMs: performance.now() + 2_000_000,
+          earliestStoreMs: performance.now() + 1_000_000,
+          latestStoreMs: performance.now() + 1_000_000,
+        }),
+      });
+    }
+    fleet.peers.calls = 0;
+    await advance(3_000);
+    const followers = VMS - fleet.watchers.length;
+    expect(fleet.peers.calls / followers).toBeLessThanOrEqual(3_000 / 150);
+  });
+
   // Guards against a store that is called by the whole fleet while it is down.
   it('calls an unavailable store rarely, and notices its return', async () => {
     fleet.store.mode = 'down';
--- a/packages/gateway/src/fleet/__tests__/position_task.test.ts
+++ b/packages/gateway/src/fleet/__tests__/position_task.test.ts
@@ -11,7 +11,7 @@
 
 const TRIP_MS = 5;
 
-/** A group's task that records what it is told. */
+/** A group's task that records its messages. */
 class FakeDatabase {
   readonly received: PositionSamples[] = [];
   samples: PositionSamples = [];
--- a/packages/gateway/src/fleet/fleet_task.ts
+++ b/packages/gateway/src/fleet/fleet_task.ts
@@ -36,7 +36,7 @@
  * primary leases, so several must fit into the duration of a lease.
  */
 const WATCH_TIMEOUT_MS = 3_000;
-/** The pause after a watcher did not answer. */
+/** The pause after a watcher did not answer, or had no newer proof. */
 const WATCHER_RETRY_MS = 150;
 /**
  * VMs that start together register one after the other. After a registration,
@@ -326,13 +326,14 @@
       now,
     );
     if (decision.kind === 'ask-store') return 'ask-store';
+    const {proof} = this;
     const outcome = await this.askPeer(name, decision.waitMs);
-    if (outcome === 'answered') {
-      await settled();
-    } else {
-      watcher.failed(name);
-      await sleep(WATCHER_RETRY_MS);
-    }
+    await settled();
+    // An answer without a newer proof, such as one from an older state of the
+    // store, must not be followed by the next request at once.
+    if (this.proof !== proof) return 'followed';
+    if (outcome === 'no-answer') watcher.failed(name);
+    await sleep(WATCHER_RETRY_MS);
     return 'followed';
   }
 
