--- a/packages/entry/src/membership/membership_task.ts
+++ b/packages/entry/src/membership/membership_task.ts
@@ -40,6 +40,8 @@
 /** How often the clients of evicted VMs are closed. */
 const RETAIN_INTERVAL_MS = 60_000;
 
+type AnsweredMessage = Extract<MembershipMessage, {kind: 'answered'}>;
+
 /**
  * Owns this VM's view of the fleet and of the versions known and applied there.
  * Probes peers at intervals, exchanges gossip with them, and publishes the view
@@ -247,10 +249,7 @@
     return this.gossipFor(gossip.from.vm, isNew ? 'new' : 'known');
   }
 
-  private answered(
-    message: Extract<MembershipMessage, {kind: 'answered'}>,
-  ): void {
-    const {gossip, sentAt} = message;
+  private answered({gossip, sentAt}: AnsweredMessage): void {
     this.receiveGossip(gossip);
     this.updateAuthority({
       kind: 'answered',
