--- a/packages/document/src/process_settings.ts
+++ b/packages/document/src/process_settings.ts
@@ -1,6 +1,6 @@
 import {ENVIRONMENTS, fail, ok} from '@pistachiorill/core';
 import type {Result} from '@pistachiorill/core';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {DocumentError} from './document_error.js';
 import {lineOf, parseIniSections, titleOf, valuesOf} from './ini_sections.js';
 import type {IniSection} from './ini_sections.js';
--- a/packages/document/src/section_schemas.ts
+++ b/packages/document/src/section_schemas.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 const MAX_RATE = 10_000_000;
 const MAX_DEADLINE_MS = 600_000;
--- a/packages/gateway/src/daemon/gateway_settings.ts
+++ b/packages/gateway/src/daemon/gateway_settings.ts
@@ -1,6 +1,6 @@
 import {fail, ok} from '@pistachiorill/core';
 import type {Result} from '@pistachiorill/core';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const ADDRESS = z
   .string()
--- a/packages/gateway/src/fleet/fleet_rows.ts
+++ b/packages/gateway/src/fleet/fleet_rows.ts
@@ -6,7 +6,7 @@
   VersionedLeadership,
 } from '@pistachiorill/core';
 import type {TableRow} from '@pistachiorill/store';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Key of the row that holds the coordinator lease. */
 export const COORDINATOR_LEASE_KEY = 'duty';
--- a/packages/gateway/src/peers/gateway_router.ts
+++ b/packages/gateway/src/peers/gateway_router.ts
@@ -1,5 +1,5 @@
 import {initTRPC} from '@trpc/server';
-import {z} from 'zod';
+import * as z from 'zod';
 import type {GatewayHandlers} from './gateway_handlers.js';
 
 /** What each procedure receives besides its input. */
--- a/packages/peers/src/procedures/announce_schema.ts
+++ b/packages/peers/src/procedures/announce_schema.ts
@@ -1,5 +1,5 @@
 import {ENVIRONMENTS} from '@pistachiorill/core';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** A configuration version in force, with the body of its document. */
 export const ANNOUNCEMENT_SCHEMA = z.object({
--- a/packages/peers/src/procedures/configuration_schema.ts
+++ b/packages/peers/src/procedures/configuration_schema.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Requests a document body by hash, or the version in force without one. */
 export const CONFIGURATION_SCHEMA = z.object({hash: z.string().optional()});
--- a/packages/peers/src/procedures/forward_schema.ts
+++ b/packages/peers/src/procedures/forward_schema.ts
@@ -1,5 +1,5 @@
 import type {Refusal} from '@pistachiorill/core';
-import {z} from 'zod';
+import * as z from 'zod';
 
 const ROUTE_SCHEMA = z.object({
   name: z.string(),
--- a/packages/peers/src/procedures/ledger_schema.ts
+++ b/packages/peers/src/procedures/ledger_schema.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Requests the ledger row if its version is at least `version`. */
 export const LEDGER_SCHEMA = z.object({
--- a/packages/peers/src/procedures/loan_schema.ts
+++ b/packages/peers/src/procedures/loan_schema.ts
@@ -1,5 +1,5 @@
 import type {LoanGrant, LoanRequest} from '@pistachiorill/core';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Requests part of the lender's share or tokens of a workspace. */
 export const LOAN_SCHEMA: z.ZodType<LoanRequest> = z.object({
--- a/packages/peers/src/procedures/probe_indirect_schema.ts
+++ b/packages/peers/src/procedures/probe_indirect_schema.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 import {PEER_RECORD_SCHEMA} from './probe_schema.js';
 
 /** Requests a probe of `target`. */
--- a/packages/peers/src/procedures/probe_schema.ts
+++ b/packages/peers/src/procedures/probe_schema.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** Limits the number of membership changes in one probe. */
 export const MAX_PIGGYBACKED_CHANGES = 32;
--- a/packages/peers/src/procedures/report_schema.ts
+++ b/packages/peers/src/procedures/report_schema.ts
@@ -1,6 +1,6 @@
 import {FAILOVER_REPORT_KINDS} from '@pistachiorill/core';
 import type {FailoverReport} from '@pistachiorill/core';
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** How the sender sees the primary of a group; see `FailoverReport`. */
 export const REPORT_SCHEMA: z.ZodType<FailoverReport> = z.object({
--- a/packages/peers/src/procedures/transaction_schema.ts
+++ b/packages/peers/src/procedures/transaction_schema.ts
@@ -1,5 +1,5 @@
 import type {Refusal} from '@pistachiorill/core';
-import {z} from 'zod';
+import * as z from 'zod';
 import {WIRE_STATEMENT_SCHEMA} from './forward_schema.js';
 
 /** Requests a transaction on the database of a routed statement. */
--- a/packages/store/src/platform_api.ts
+++ b/packages/store/src/platform_api.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 /** A row in a response of the table service. */
 export const ROW_SCHEMA = z.object({
--- a/packages/store/src/vm_status.ts
+++ b/packages/store/src/vm_status.ts
@@ -1,4 +1,4 @@
-import {z} from 'zod';
+import * as z from 'zod';
 
 const MEMBER_SCHEMA = z.object({
   backendServer: z.string(),
