Answer requests that arrive with a withdrawal of their key or a shutdown

Cause: a session closed when it handled the withdrawal of its key, the removal of its route or the drain of its VM, and dropped requests that it had read and not handled yet: they were cut off without an answer. On a VM whose processor is used up such a request can have waited for longer than the time in which a crossing close is excused.

Change: a session without access stays open and refuses each request; a session that drains closes once the requests that have arrived are answered.

Measured: both cases of 'answers a request that has arrived behind' failed before (closed without an answer) and pass.

--- a/packages/gateway/src/session/__tests__/session_task.test.ts
+++ b/packages/gateway/src/session/__tests__/session_task.test.ts
@@ -253,6 +253,26 @@
     }).toMatchSnapshot();
   });
 
+  // Guards against a request that is cut off without an answer, because it
+  // arrives together with the withdrawal of its key or with a shutdown.
+  it.each(['reconfigured', 'drain'] as const)(
+    'answers a request that has arrived behind: %s',
+    async kind => {
+      const {fake, caller, session, state, open, run} = start();
+      open();
+      await settle();
+      if (kind === 'reconfigured') {
+        state.configuration = {...CONFIGURATION, keys: new Map()};
+      }
+      session.tell({kind});
+      await run(READ);
+      expect({
+        caller: caller.seen,
+        primary: fake.member('a').requests,
+      }).toMatchSnapshot();
+    },
+  );
+
   // Guards against a shutdown that aborts an open transaction, and against one
   // that waits for idle sessions.
   it('closes after the open transaction when it drains', async () => {
--- a/packages/gateway/src/session/session_task.ts
+++ b/packages/gateway/src/session/session_task.ts
@@ -50,6 +50,12 @@
 
   protected override async handle(message: SessionMessage): Promise<void> {
     if (this.phase === 'closed') return;
+    await this.dispatch(message);
+    // Requests that have arrived already are answered first.
+    if (this.phase === 'draining' && this.backlog === 0) this.closeIfIdle();
+  }
+
+  private async dispatch(message: SessionMessage): Promise<void> {
     switch (message.kind) {
       case 'event':
         await this.event(message.event, message.receivedAt);
@@ -59,7 +65,6 @@
         return;
       case 'drain':
         this.phase = 'draining';
-        this.closeIfIdle();
         return;
       case 'abort-transaction':
       case 'transaction-idle':
@@ -89,7 +94,6 @@
         clearTimeout(this.idleTimer);
         await this.statement(event.id, event.statement, receivedAt);
         this.startTransactionTimeout();
-        if (this.phase === 'draining') this.closeIfIdle();
         return;
       case 'malformed':
         this.refuse(event.id, {kind: 'malformed', detail: event.detail});
@@ -342,16 +346,13 @@
     this.reply({kind: 'refused', refusal});
   }
 
-  /** Fails the transaction or ends the session if access was withdrawn. */
+  /** Fails the transaction if access was withdrawn; requests are refused. */
   private async handleReconfiguration(): Promise<void> {
     if (this.phase === 'new') return;
     const configuration = this.deps.configuration();
     const found = resolveCaller(configuration, this.database, this.key);
-    if (found.ok) return;
-    await this.failTransaction();
-    if (this.transaction.kind !== 'none') return;
-    this.link.close();
-    await this.ended();
+    // The session stays open, as a request may be on its way.
+    if (!found.ok) await this.failTransaction();
   }
 
   private async failTransaction(): Promise<void> {
