End a session without access once its requests are answered

Cause: kept such sessions open.

Change: after a withdrawal the session drains: requests that have arrived are refused, then it closes, as before.

Measured: both cases of 'answers a request that has arrived behind' pass.

--- a/packages/gateway/src/session/session_task.ts
+++ b/packages/gateway/src/session/session_task.ts
@@ -346,13 +346,14 @@
     this.reply({kind: 'refused', refusal});
   }
 
-  /** Fails the transaction if access was withdrawn; requests are refused. */
+  /** Fails the transaction, or ends the session, if access was withdrawn. */
   private async handleReconfiguration(): Promise<void> {
     if (this.phase === 'new') return;
     const configuration = this.deps.configuration();
     const found = resolveCaller(configuration, this.database, this.key);
-    // The session stays open, as a request may be on its way.
-    if (!found.ok) await this.failTransaction();
+    if (found.ok) return;
+    await this.failTransaction();
+    if (this.transaction.kind === 'none') this.phase = 'draining';
   }
 
   private async failTransaction(): Promise<void> {
