Ask for tokens again only after all answers have arrived

Change: a VM without a share asks another rate holder at once only when no request is under way; the pause after three empty ones holds.

--- a/packages/gateway/src/quota/__tests__/quota_task.test.ts
+++ b/packages/gateway/src/quota/__tests__/quota_task.test.ts
@@ -4,7 +4,7 @@
 import {PeerSet} from '../../peers/peer_set.js';
 import {silentLogger} from '../../testing/fake_group.js';
 import {QuotaTask} from '../quota_task.js';
-import type {Admission} from '../quota_task.js';
+import type {Admission} from '../account.js';
 
 const LIMITS = new Map([['co-op', {rate: 40, burst: 40}]]);
 
@@ -107,4 +107,42 @@
       expect({kind: admission.kind, calls: peers.calls}).toMatchSnapshot();
     },
   );
+
+  // Guards against requests that multiply, as each of several answers without
+  // tokens starts several further requests.
+  it('asks at a bounded rate while no rate holder has tokens', async () => {
+    const holders = Array.from({length: 8}, (unused, i) => `vm-${i}`);
+    const peers = new HoldingPeers(holders, Infinity);
+    const task = new QuotaTask({
+      clock: () => performance.now(),
+      startedAt: 0,
+      sharePpm: () => 0,
+      rateHolders: () => holders,
+      hasProvenShares: () => true,
+      peers,
+      log: silentLogger(),
+      onFailed: err => {
+        throw err;
+      },
+    });
+    task.tell({
+      kind: 'limits',
+      limits: new Map([['co-op', {rate: 2, burst: 2}]]),
+    });
+    const until = performance.now() + 1_000;
+    const asked = Array.from({length: 20}, () =>
+      ask<Admission>(reply =>
+        task.tell({
+          kind: 'admit',
+          workspace: 'co-op',
+          until,
+          untilAtStart: until,
+          reply,
+        }),
+      ),
+    );
+    await Promise.all(asked);
+    // All eight at most once in the pause of 250 ms, and as many before it.
+    expect(peers.calls).toBeLessThanOrEqual(5 * 2 * 8);
+  });
 });
--- a/packages/gateway/src/quota/quota_task.ts
+++ b/packages/gateway/src/quota/quota_task.ts
@@ -7,11 +7,12 @@
   tokensToRequest,
   tokensToTransfer,
 } from '@pistachiorill/core';
-import type {QuotaLimits, TokenBucket} from '@pistachiorill/core';
+import type {QuotaLimits} from '@pistachiorill/core';
 import {Task} from '@pistachiorill/tasks';
 import type {Clock, Reply} from '@pistachiorill/tasks';
 import type {Logger} from '@pistachiorill/telemetry';
 import type {PeerSet} from '../peers/peer_set.js';
+import type {Account, Admission} from './account.js';
 
 /** How often a VM asks its peers for tokens of one workspace. */
 const ASK_INTERVAL_MS = 60;
@@ -29,11 +30,6 @@
 /** Interval at which the refusals of a workspace are logged as one record. */
 const REPORT_INTERVAL_MS = 5_000;
 
-/** Whether an operation got a token; if not, when to try again. */
-export type Admission =
-  | {readonly kind: 'admitted'}
-  | {readonly kind: 'refused'; readonly retryAfterMs: number};
-
 /** Messages that the quota task handles. */
 export type QuotaMessage =
   | {
@@ -87,21 +83,6 @@
   readonly onFailed: (err: unknown) => void;
 }
 
-/** The tokens of one workspace on this VM, and who waits for them. */
-interface Account {
-  limits: QuotaLimits;
-  bucket: TokenBucket;
-  waiting: Array<{readonly until: number; readonly reply: Reply<Admission>}>;
-  /** When peers may be asked for tokens again. */
-  askAt: number;
-  /** The peer that last gave tokens; it is asked first. */
-  donor: string | undefined;
-  /** The peers that had no tokens since the last one that gave some. */
-  readonly emptyPeers: Set<string>;
-  /** Decisions since the last log record. */
-  report: {startedAt: number; admitted: number; refused: number};
-}
-
 /** Owns this VM's rate-limit tokens of every workspace. */
 export class QuotaTask extends Task<QuotaMessage> {
   private readonly accounts = new Map<string, Account>();
@@ -173,6 +154,7 @@
           askAt: -Infinity,
           donor: undefined,
           emptyPeers: new Set(),
+          pendingRequests: 0,
           report: {startedAt: now, admitted: 0, refused: 0},
         });
       }
@@ -296,6 +278,7 @@
       candidates.length > 0 ? candidates : holders,
     );
     const tokensPerPeer = tokens / Math.max(1, names.length);
+    account.pendingRequests += names.length;
     for (const from of names) {
       void this.deps.peers
         .tokens(from, workspace, tokensPerPeer, ASK_TIMEOUT_MS)
@@ -316,6 +299,7 @@
   ): void {
     const account = this.accounts.get(workspace);
     if (!account) return;
+    account.pendingRequests--;
     if (tokens > 0) {
       account.donor = from;
       account.emptyPeers.clear();
@@ -326,20 +310,32 @@
     } else {
       if (account.donor === from) account.donor = undefined;
       account.emptyPeers.add(from);
-      const tried = account.emptyPeers.size;
-      if (
-        this.roleIn(workspace) === 'without-share' &&
-        tried < MAX_EMPTY_PEERS
-      ) {
-        account.askAt = Math.min(account.askAt, now);
-      } else if (account.donor === undefined) {
-        account.askAt = Math.max(account.askAt, now + NO_TOKENS_BACKOFF_MS);
-        account.emptyPeers.clear();
-      }
+      this.scheduleNextRequest(workspace, account, now);
     }
     this.serve(workspace, account, now);
   }
 
+  /**
+   * Decides when peers are asked again after one had no tokens. A VM without a
+   * share asks another one at once, but only after all answers have arrived: each
+   * of several answers would otherwise start several further requests.
+   */
+  private scheduleNextRequest(
+    workspace: string,
+    account: Account,
+    now: number,
+  ): void {
+    const isOther =
+      this.roleIn(workspace) === 'without-share' &&
+      account.emptyPeers.size < MAX_EMPTY_PEERS;
+    if (isOther) {
+      if (account.pendingRequests === 0) account.askAt = now;
+    } else if (account.donor === undefined) {
+      account.askAt = Math.max(account.askAt, now + NO_TOKENS_BACKOFF_MS);
+      if (account.pendingRequests === 0) account.emptyPeers.clear();
+    }
+  }
+
   /**
    * Takes tokens out of the bucket for a peer; none while operations wait here.
    */
--- a/packages/gateway/src/session/admit_filter.ts
+++ b/packages/gateway/src/session/admit_filter.ts
@@ -2,7 +2,8 @@
 import type {Result} from '@pistachiorill/core';
 import {ask} from '@pistachiorill/tasks';
 import type {SessionRefusal} from '../ports/caller_link.js';
-import type {Admission, QuotaTask} from '../quota/quota_task.js';
+import type {Admission} from '../quota/account.js';
+import type {QuotaTask} from '../quota/quota_task.js';
 import type {RoutedStatement} from './session_statement.js';
 
 /** The share of the latency target that a statement may wait for a token. */
