Test how the soak restarts and kills processes

A process that nobody ended is reported and started again, and one that outlasts its grace period is killed; both had no test. The second signal of a series is recorded, so that a violation names it, and callers are stopped also when a run fails.

--- a/soak/src/__tests__/vm_process.test.ts
+++ b/soak/src/__tests__/vm_process.test.ts
@@ -1,30 +1,36 @@
-import {mkdtempSync, readFileSync, rmSync, writeFileSync} from 'node:fs';
+import {
+  existsSync,
+  mkdtempSync,
+  readFileSync,
+  rmSync,
+  writeFileSync,
+} from 'node:fs';
 import {tmpdir} from 'node:os';
 import {join} from 'node:path';
 import type {VmEndpoints} from '@pistachiorill/platform/standins';
 import {sleep} from '@pistachiorill/tasks';
-import {afterEach, describe, expect, it, vi} from 'vitest';
+import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 import {VmProcess} from '../vm_process.js';
 
 /** A program that records its process id and runs until it is killed. */
 const PROGRAM = `
 import {appendFileSync} from 'node:fs';
 appendFileSync(\`\${process.argv.at(-1)}.pids\`, \`\${process.pid}\\n\`);
+process.on('SIGTERM', () => undefined);
 setInterval(() => undefined, 1_000);
 `;
 /** How long a second process would take to record its id. */
 const SECOND_START_MS = 500;
+const START_TIMEOUT_MS = 10_000;
 
 const PORTS = {callers: 1, readiness: 2, peers: 3, metrics: 4};
 const ENDPOINTS = {storeAddress: '', orderAddress: ''} as VmEndpoints;
 
 describe('VmProcess', () => {
-  const folder = mkdtempSync(join(tmpdir(), 'vm-process-'));
+  let folder = '';
+  const pidsPath = (): string => join(folder, 'vm-1.ini.pids');
   const pids = (): number[] =>
-    readFileSync(join(folder, 'vm-1.ini.pids'), 'utf8')
-      .trim()
-      .split('\n')
-      .map(Number);
+    readFileSync(pidsPath(), 'utf8').trim().split('\n').map(Number);
 
   function isRunning(pid: number): boolean {
     try {
@@ -35,6 +41,22 @@
     }
   }
 
+  function newVm(): VmProcess {
+    const program = join(folder, 'program.mjs');
+    writeFileSync(program, PROGRAM);
+    return new VmProcess('vm-1', PORTS, ENDPOINTS, program, folder);
+  }
+
+  const hasStarted = (times: number): Promise<void> =>
+    vi.waitFor(
+      () => expect(existsSync(pidsPath()) ? pids() : []).toHaveLength(times),
+      {timeout: START_TIMEOUT_MS},
+    );
+
+  beforeEach(() => {
+    folder = mkdtempSync(join(tmpdir(), 'vm-process-'));
+  });
+
   afterEach(() => {
     for (const pid of pids().filter(isRunning)) process.kill(pid, 'SIGKILL');
     rmSync(folder, {recursive: true});
@@ -43,14 +65,35 @@
   // Guards against a process that outlives the run, because two faults that
   // overlap start the VM one after the other.
   it('starts no second process beside a running one', async () => {
-    const program = join(folder, 'program.mjs');
-    writeFileSync(program, PROGRAM);
-    const vm = new VmProcess('vm-1', PORTS, ENDPOINTS, program, folder);
+    const vm = newVm();
     vm.start();
-    await vi.waitFor(() => expect(pids()).toHaveLength(1), {timeout: 10_000});
+    await hasStarted(1);
     vm.start();
     await sleep(SECOND_START_MS);
     await vm.end('SIGKILL');
     expect(pids().map(isRunning)).toMatchSnapshot();
   });
+
+  // Guards against a process that ends by itself and goes unnoticed.
+  it('reports and restarts a process that nobody ended', async () => {
+    const vm = newVm();
+    vm.start();
+    await hasStarted(1);
+    vm.signal('SIGUSR2');
+    await hasStarted(2);
+    await vm.end('SIGKILL');
+    await sleep(SECOND_START_MS);
+    const running = pids().map(isRunning);
+    expect({exits: vm.unexpectedExits, running}).toMatchSnapshot();
+  });
+
+  // Guards against a run that waits for a process that does not stop.
+  it('kills a process that outlasts its grace period', async () => {
+    const vm = newVm();
+    vm.start();
+    await hasStarted(1);
+    await vm.stop();
+    const running = pids().map(isRunning);
+    expect({exits: vm.unexpectedExits, running}).toMatchSnapshot();
+  });
 });
--- a/soak/src/checks/check_lost.ts
+++ b/soak/src/checks/check_lost.ts
@@ -8,7 +8,8 @@
 /** Work on VMs that must not interrupt a request. Times are in ms. */
 export type PlannedWork =
   | {
-      readonly kind: 'sigterm' | 'sighup';
+      /** A second signal reaches a VM that drains after SIGTERM. */
+      readonly kind: 'sigterm' | 'second-signal' | 'sighup';
       readonly vm: string;
       readonly atMs: number;
     }
@@ -125,6 +126,7 @@
   if (endedAt < work.atMs) return false;
   switch (work.kind) {
     case 'sigterm':
+    case 'second-signal':
       return work.vm === vm && endedAt <= work.atMs + graceMs + AFTER_GRACE_MS;
     case 'sighup':
       return work.vm === vm && sentAt <= work.atMs + applyMs;
--- a/soak/src/faults/fault_record.ts
+++ b/soak/src/faults/fault_record.ts
@@ -9,6 +9,8 @@
   /** Planned work that stops VMs. */
   | 'stops';
 
+type VmSignal = Exclude<PlannedWork['kind'], 'configuration'>;
+
 /** The effect of a fault from its start to its end. */
 interface Effect {
   readonly nature: FaultNature;
@@ -40,7 +42,7 @@
   }
 
   /** Records a signal that is sent to a VM now. */
-  signalled(kind: 'sigterm' | 'sighup', vm: string): void {
+  signalled(kind: VmSignal, vm: string): void {
     this.work.push({kind, vm, atMs: this.clock()});
   }
 
--- a/soak/src/faults/planned_work_injector.ts
+++ b/soak/src/faults/planned_work_injector.ts
@@ -41,7 +41,7 @@
     if (!vm) return;
     switch (kind) {
       case 'signalled-twice':
-        return this.restart(vm, () => signalAgain(vm, random));
+        return this.restart(vm, () => this.signalAgain(vm, random));
       case 'reloads-in-drain':
         return this.restart(vm, () => this.reload(vm, random, GRACE_MS));
       case 'reloads-in-start':
@@ -102,6 +102,15 @@
     await Promise.all(restarts);
   }
 
+  /** Sends another signal during the drain, but none to a newer process. */
+  private async signalAgain(vm: VmProcess, random: Random): Promise<void> {
+    const {pid} = vm;
+    await sleep(random.integer(0, GRACE_MS));
+    if (vm.pid !== pid) return;
+    this.record.signalled('second-signal', vm.name);
+    vm.signal(random.pick(['SIGTERM', 'SIGINT']) ?? 'SIGINT');
+  }
+
   private async reload(
     vm: VmProcess,
     random: Random,
@@ -125,14 +134,6 @@
   }
 }
 
-/** Sends another signal during the drain, but none to a newer process. */
-async function signalAgain(vm: VmProcess, random: Random): Promise<void> {
-  const {pid} = vm;
-  await sleep(random.integer(0, GRACE_MS));
-  if (vm.pid !== pid) return;
-  vm.signal(random.pick(['SIGTERM', 'SIGINT']) ?? 'SIGINT');
-}
-
 /** Runs processes that use up processors, and ends them by their ids. */
 async function shareProcessor(forMs: number): Promise<void> {
   const busy = Array.from({length: BUSY_PROCESSES}, () =>
--- a/soak/src/run_soak.ts
+++ b/soak/src/run_soak.ts
@@ -108,6 +108,7 @@
     for (const {caller} of callers) caller.stop();
     await Promise.all(callers.map(item => item.done));
   } finally {
+    for (const {caller} of callers) caller.stop();
     await endAll(vms);
     standins.close();
     stallMonitor.stop();
