Record statements that arrive after their session was closed

Change: a counter and a log record with the request's id; the records of a session move to a file of their own.

Measured: the tests of the session pass unchanged; no change of behaviour.

--- /dev/null
+++ b/packages/gateway/src/session/session_records.ts
@@ -0,0 +1,52 @@
+import type {SessionRefusal} from '../ports/caller_link.js';
+import type {SessionDependencies, SessionMessage} from './session_message.js';
+
+type RecordingDependencies = Pick<
+  SessionDependencies,
+  'configuration' | 'log' | 'metrics'
+>;
+
+/** Counts and logs the refusal of a session. */
+export function recordSessionRefusal(
+  {log, metrics}: RecordingDependencies,
+  database: string,
+  refusal: SessionRefusal,
+): void {
+  metrics.refused(refusal.kind);
+  log.info({event: 'session.refused', database, refusal}, 'session refused');
+}
+
+/** Counts and logs the refusal of a statement. */
+export function recordStatementRefusal(
+  {log, metrics, configuration}: RecordingDependencies,
+  request: string,
+  database: string,
+  refusal: SessionRefusal,
+): void {
+  metrics.refused(refusal.kind);
+  log.info(
+    {
+      event: 'statement.refused',
+      request,
+      database,
+      configuration: configuration()?.version,
+      refusal,
+    },
+    'statement refused',
+  );
+}
+
+/** Counts and logs a statement that a closed session leaves unanswered. */
+export function recordAfterClose(
+  {log, metrics}: RecordingDependencies,
+  database: string,
+  message: SessionMessage,
+): void {
+  if (message.kind !== 'event' || message.event.kind !== 'statement') return;
+  const {id} = message.event;
+  metrics.unanswered();
+  log.warn(
+    {event: 'statement.unanswered', request: id, database},
+    'statement arrived after its session was closed',
+  );
+}
--- a/packages/gateway/src/session/session_task.ts
+++ b/packages/gateway/src/session/session_task.ts
@@ -17,6 +17,11 @@
 import {OpenTransaction} from './open_transaction.js';
 import {resolveCaller} from './route_filter.js';
 import type {SessionMessage, SessionDependencies} from './session_message.js';
+import {
+  recordAfterClose,
+  recordSessionRefusal,
+  recordStatementRefusal,
+} from './session_records.js';
 
 /** The state of a session's transaction. */
 type SessionTransaction =
@@ -49,7 +54,10 @@
   }
 
   protected override async handle(message: SessionMessage): Promise<void> {
-    if (this.phase === 'closed') return;
+    if (this.phase === 'closed') {
+      recordAfterClose(this.deps, this.database, message);
+      return;
+    }
     await this.dispatch(message);
     // Requests that have arrived already are answered first.
     if (this.phase === 'draining' && this.backlog === 0) this.closeIfIdle();
@@ -112,11 +120,7 @@
   private open(database: string, key: string): void {
     const found = resolveCaller(this.deps.configuration(), database, key);
     if (!found.ok) {
-      this.deps.metrics.refused(found.err.kind);
-      this.deps.log.info(
-        {event: 'session.refused', database, refusal: found.err},
-        'session refused',
-      );
+      recordSessionRefusal(this.deps, database, found.err);
       this.link.reject(found.err);
       this.end();
       return;
@@ -332,17 +336,7 @@
   }
 
   private refuse(id: string, refusal: SessionRefusal): void {
-    this.deps.metrics.refused(refusal.kind);
-    this.deps.log.info(
-      {
-        event: 'statement.refused',
-        request: id,
-        database: this.database,
-        configuration: this.deps.configuration()?.version,
-        refusal,
-      },
-      'statement refused',
-    );
+    recordStatementRefusal(this.deps, id, this.database, refusal);
     this.reply({kind: 'refused', refusal});
   }
 
--- a/packages/gateway/src/telemetry/gateway_metrics.ts
+++ b/packages/gateway/src/telemetry/gateway_metrics.ts
@@ -21,6 +21,12 @@
     registers: [this.registry],
   });
 
+  private readonly unansweredStatements = new Counter({
+    name: 'pistachiorill_gateway_unanswered_statements_total',
+    help: 'Statements that arrived after their session was closed.',
+    registers: [this.registry],
+  });
+
   private readonly changes = new Counter({
     name: 'pistachiorill_gateway_primary_changes_total',
     help: 'Changes of primary that this VM carried out, by outcome.',
@@ -67,6 +73,11 @@
     this.refusals.inc({reason});
   }
 
+  /** Counts a statement that a closed session leaves unanswered. */
+  unanswered(): void {
+    this.unansweredStatements.inc();
+  }
+
   /** Counts a primary change that this VM carried out. */
   primaryChanged(outcome: string): void {
     this.changes.inc({outcome});
