Refuse statements at a group whose task is closed

Callers saw: a request that waited for a connection as its VM stopped, or that was retried then, was cut off without an answer when the process ended.

Cause: DatabaseTask.close refuses queued requests as 'pool-drained', which places them again; the closed task queued them at a member once more, opened connections and ran statements while the process exited, and answered nobody once its ticker was stopped. The same happens when a configuration removes a group.

Evidence: 'grants no connection once it is closed' on: the queued request has no answer after 200 ms, the later one is 'granted: a'.

Change: check-outs are refused from the close on, those that wait first.

--- a/packages/gateway/src/database/database_task.ts
+++ b/packages/gateway/src/database/database_task.ts
@@ -14,7 +14,8 @@
 } from './database_message.js';
 import type {DatabaseDependencies} from './database_tools.js';
 import type {Checkout, CheckoutRefusal, CheckoutRequest} from './checkout.js';
-import {checkoutRefusal, poolRefusal} from './lease_refusals.js';
+import {DeferredCheckouts} from './deferred_checkouts.js';
+import {poolRefusal} from './lease_refusals.js';
 import {MemberConnection} from './member_connection.js';
 import {MemberProbes} from './member_probes.js';
 import {MemberTable} from './member_table.js';
@@ -35,8 +36,7 @@
   private readonly positions = new RecentPositions();
   private readonly members: MemberTable;
   private readonly stops = new PendingPrimaryStops();
-  /** Requests that wait until a primary change ends. */
-  private deferred: CheckoutMessage[] = [];
+  private readonly deferred = new DeferredCheckouts();
   private ticker: NodeJS.Timeout | undefined;
   private readonly probes: MemberProbes;
   private readonly sampler: PrimarySampler;
@@ -225,6 +225,7 @@
   }
 
   private checkOut(message: CheckoutMessage, now: number): void {
+    if (this.deferred.isRefused(message)) return;
     const {request, reply} = message;
     const requestPositions = () => this.deps.requestPositions(this.group);
     if (this.positions.holdBack(message, now, requestPositions)) return;
@@ -238,7 +239,7 @@
     if (placed.ok) {
       this.enqueue(placed.value, request, reply, now);
     } else if (placed.err.kind === 'primary-changing' && now < request.until) {
-      this.deferred.push(message);
+      this.deferred.add(message);
     } else {
       reply.answer(placed);
     }
@@ -362,26 +363,20 @@
   }
 
   private retryDeferred(now: number): void {
-    const requests = this.deferred;
-    this.deferred = [];
-    for (const message of requests) this.checkOut(message, now);
+    for (const message of this.deferred.takeAll()) this.checkOut(message, now);
   }
 
   private close(): void {
     clearTimeout(this.ticker);
     this.members.abandonAll();
     this.sampler.close();
-    const waiting = [...this.deferred, ...this.positions.merge([])];
-    for (const {reply} of waiting) {
-      reply.answer(fail(checkoutRefusal('no-member', 'the VM stops')));
-    }
-    this.deferred = [];
+    this.deferred.close(this.positions.merge([]));
   }
 
   /** Schedules maintenance while requests wait or a member is in use. */
   private scheduleTick(): void {
     const isBusy =
-      this.deferred.length > 0 || this.stops.size > 0 || this.members.isBusy;
+      this.deferred.size > 0 || this.stops.size > 0 || this.members.isBusy;
     if (this.ticker || !isBusy) return;
     this.ticker = setTimeout(() => {
       this.ticker = undefined;
