Answer requests that a closing session has not read yet

Callers saw: around a planned stop or a withdrawn key, a request on an open session got the end of the connection instead of an answer.

Cause: a session that drains closed as soon as its mailbox was empty. A request can lie in the operating system's buffer meanwhile: after a pause of a busy process timers run before sockets are read, so the drain is handled first, and the request, older than the 200 ms for which a crossing close is excused, is read after the close and dropped. The class of fault: the mailbox is taken for all the input.

--- a/packages/gateway/src/ports/caller_link.ts
+++ b/packages/gateway/src/ports/caller_link.ts
@@ -98,6 +98,12 @@
     transaction: TransactionState,
     position: LogPosition | undefined,
   ): void;
+  /**
+   * Resolves once the requests that have arrived by now are passed on as events.
+   * They can be in a buffer of the operating system for as long as this process
+   * is busy.
+   */
+  abstract receivePending(): Promise<void>;
   /** Closes the connection after pending replies are delivered. */
   abstract close(): void;
 }
--- a/packages/gateway/src/session/__tests__/session_task.test.ts
+++ b/packages/gateway/src/session/__tests__/session_task.test.ts
@@ -21,6 +21,8 @@
 class FakeCaller extends CallerLink {
   /** The replies and other calls as text, in order. */
   readonly seen: string[] = [];
+  /** Delivers requests that arrived and were not read yet. */
+  pending: () => void = () => undefined;
   private open = true;
 
   override get isOpen(): boolean {
@@ -39,6 +41,10 @@
     this.seen.push(`${describeReply(reply)}, transaction ${transaction}`);
   }
 
+  override async receivePending(): Promise<void> {
+    this.pending();
+  }
+
   override close(): void {
     if (this.open) this.seen.push('closed');
     this.open = false;
@@ -273,6 +279,30 @@
     },
   );
 
+  // Guards against a request that is cut off without an answer, because it was
+  // still in the socket's buffer when its session closed.
+  it.each(['reconfigured', 'drain'] as const)(
+    'answers a request that has arrived unread: %s',
+    async kind => {
+      const {fake, caller, session, state, open, run} = start();
+      open();
+      await settle();
+      if (kind === 'reconfigured') {
+        state.configuration = {...CONFIGURATION, keys: new Map()};
+      }
+      caller.pending = () => {
+        caller.pending = () => undefined;
+        void run(READ);
+      };
+      session.tell({kind});
+      await settle();
+      expect({
+        caller: caller.seen,
+        primary: fake.member('a').requests,
+      }).toMatchSnapshot();
+    },
+  );
+
   // Guards against a shutdown that aborts an open transaction, and against one
   // that waits for idle sessions.
   it('closes after the open transaction when it drains', async () => {
--- a/packages/gateway/src/session/session_task.ts
+++ b/packages/gateway/src/session/session_task.ts
@@ -59,8 +59,7 @@
       return;
     }
     await this.dispatch(message);
-    // Requests that have arrived already are answered first.
-    if (this.phase === 'draining' && this.backlog === 0) this.closeIfIdle();
+    if (this.phase === 'draining') await this.closeIfIdle();
   }
 
   private async dispatch(message: SessionMessage): Promise<void> {
@@ -370,8 +369,11 @@
     );
   }
 
-  private closeIfIdle(): void {
-    if (this.transaction.kind !== 'none') return;
+  /** Closes the session unless requests that have arrived wait for an answer. */
+  private async closeIfIdle(): Promise<void> {
+    if (this.transaction.kind !== 'none' || this.backlog > 0) return;
+    await this.link.receivePending();
+    if (this.backlog > 0) return;
     this.link.close();
     this.end();
   }
