Answer requests under way before the process exits

Callers saw: a request that still waited at the end of the grace period got the end of the connection instead of an answer.

Cause: the daemon closed the groups' tasks 0.7 s before the end of the grace period, waited for the removal of its row only, and ended the process: sessions with a request or a failed transaction were left, and nothing waited until the last answers were sent.

Change: the stop is a function of its own. At its end it closes every session, which answers what has arrived, and waits for the connections to end beside the removal of the row. The record of the stop tells the time, the sessions that remained and those that were left without an answer.

--- a/packages/gateway/src/daemon/gateway_daemon.ts
+++ b/packages/gateway/src/daemon/gateway_daemon.ts
@@ -8,7 +8,7 @@
   TransactionResult,
 } from '@pistachiorill/store';
 import type {Result} from '@pistachiorill/core';
-import {Pipeline, ask, sleep} from '@pistachiorill/tasks';
+import {Pipeline, ask} from '@pistachiorill/tasks';
 import type {Logger} from '@pistachiorill/telemetry';
 import {SuspensionClock, SystemClocks} from '../clock/suspension_clock.js';
 import {DatabaseSet} from './database_set.js';
@@ -40,14 +40,9 @@
 import {DaemonPeerHandlers} from './daemon_peer_handlers.js';
 import type {GatewayPorts, OpenPorts} from './gateway_ports.js';
 import type {GatewaySettings} from './gateway_settings.js';
+import {stopGracefully} from './graceful_stop.js';
 import {serveMetrics} from './http_endpoints.js';
 
-/** How long the load balancer takes to send new connections to other VMs. */
-const BALANCER_REROUTE_MS = 2_300;
-/** The part of the grace period that is reserved for leaving and closing. */
-const EXIT_RESERVE_MS = 700;
-const IDLE_CHECK_MS = 50;
-const LEAVE_TIMEOUT_MS = 400;
 /** The monotonic clock counts from the start of the process. */
 const PROCESS_START_MS = 0;
 
@@ -275,25 +270,16 @@
   async stop(): Promise<void> {
     if (this.lifecycle === 'stopping') return;
     this.lifecycle = 'stopping';
-    const startedAt = this.clock();
-    const graceMs = this.settings.limits.grace_ms;
-    this.log.info({event: 'gateway.draining', graceMs}, 'gateway is draining');
-    await this.sleepUntil(
-      startedAt + Math.min(BALANCER_REROUTE_MS, graceMs / 2),
-    );
-    for (const session of this.sessions) session.tell({kind: 'drain'});
-    this.ports.callers.close();
-    await this.waitForSessions(startedAt + graceMs / 2);
-    for (const session of this.sessions) {
-      session.tell({kind: 'abort-transaction'});
-    }
-    await this.waitForSessions(startedAt + graceMs - EXIT_RESERVE_MS);
-    await this.leave();
+    await stopGracefully({
+      graceMs: this.settings.limits.grace_ms,
+      sessions: this.sessions,
+      callers: this.ports.callers,
+      closeDatabases: () => this.databases.close(),
+      leaveFleet: () => ask(reply => this.fleet.tell({kind: 'leave', reply})),
+      clock: this.clock,
+      log: this.log,
+    });
     this.close();
-    this.log.info(
-      {event: 'gateway.stopped', sessions: this.sessions.size},
-      'gateway stopped',
-    );
   }
 
   /** Logs that the settings file was read again, and with which outcome. */
@@ -301,13 +287,6 @@
     this.log.info({event: 'gateway.reloaded', outcome}, 'settings read again');
   }
 
-  private async leave(): Promise<void> {
-    // No primary lease may remain in use once this VM's row is removed.
-    this.databases.close();
-    const removal = ask<void>(reply => this.fleet.tell({kind: 'leave', reply}));
-    await Promise.race([removal, sleep(LEAVE_TIMEOUT_MS)]);
-  }
-
   private close(): void {
     this.leadership.tell({kind: 'stop'});
     this.shareAllocator.tell({kind: 'stop'});
@@ -320,16 +299,6 @@
     this.metricsServer?.close();
   }
 
-  private async sleepUntil(time: number): Promise<void> {
-    await sleep(Math.max(0, time - this.clock()));
-  }
-
-  private async waitForSessions(time: number): Promise<void> {
-    while (this.sessions.size > 0 && this.clock() < time) {
-      await sleep(IDLE_CHECK_MS);
-    }
-  }
-
   private accept(link: CallerLink) {
     const session: SessionTask = new SessionTask(
       link,
--- /dev/null
+++ b/packages/gateway/src/daemon/graceful_stop.ts
@@ -0,0 +1,70 @@
+import {sleep} from '@pistachiorill/tasks';
+import type {Clock} from '@pistachiorill/tasks';
+import type {Logger} from '@pistachiorill/telemetry';
+import type {CallerServer} from '../ports/caller_link.js';
+import type {SessionMessage} from '../session/session_message.js';
+
+/** How long the load balancer takes to send new connections to other VMs. */
+const BALANCER_REROUTE_MS = 2_300;
+/** The part of the grace period that is reserved for leaving and closing. */
+const EXIT_RESERVE_MS = 700;
+const IDLE_CHECK_MS = 50;
+/** The time limit for the last answers and for leaving the fleet. */
+const EXIT_TIMEOUT_MS = 400;
+
+/** What a VM ends before its process exits. */
+export interface GracefulStopDependencies {
+  readonly graceMs: number;
+  /** The open sessions, which remove themselves. */
+  readonly sessions: ReadonlySet<{tell(message: SessionMessage): void}>;
+  readonly callers: CallerServer;
+  /** Ends all statements and the use of primaries. */
+  readonly closeDatabases: () => void;
+  /** Removes the VM's registration. */
+  readonly leaveFleet: () => Promise<void>;
+  readonly clock: Clock;
+  readonly log: Logger;
+}
+
+/**
+ * Ends all sessions within the grace period. Idle ones end once the load balancer
+ * sends new connections elsewhere, open transactions are rolled back after half
+ * of the period, and requests still under way at its end are answered.
+ */
+export async function stopGracefully(
+  deps: GracefulStopDependencies,
+): Promise<void> {
+  const {graceMs, sessions, callers, clock, log} = deps;
+  const startedAt = clock();
+  log.info({event: 'gateway.draining', graceMs}, 'gateway is draining');
+  await sleep(Math.min(BALANCER_REROUTE_MS, graceMs / 2));
+  for (const session of sessions) session.tell({kind: 'drain'});
+  const callersClosed = callers.close();
+  await waitForSessions(deps, startedAt + graceMs / 2);
+  for (const session of sessions) session.tell({kind: 'abort-transaction'});
+  await waitForSessions(deps, startedAt + graceMs - EXIT_RESERVE_MS);
+  const remaining = sessions.size;
+  // No primary lease may remain in use once this VM's row is removed.
+  deps.closeDatabases();
+  for (const session of sessions) session.tell({kind: 'close'});
+  await Promise.race([
+    Promise.all([callersClosed, deps.leaveFleet()]),
+    sleep(EXIT_TIMEOUT_MS),
+  ]);
+  log.info(
+    {
+      event: 'gateway.stopped',
+      tookMs: Math.round(clock() - startedAt),
+      remaining,
+      unanswered: sessions.size,
+    },
+    'gateway stopped',
+  );
+}
+
+async function waitForSessions(
+  {sessions, clock}: GracefulStopDependencies,
+  until: number,
+): Promise<void> {
+  while (sessions.size > 0 && clock() < until) await sleep(IDLE_CHECK_MS);
+}
--- a/packages/gateway/src/ports/caller_link.ts
+++ b/packages/gateway/src/ports/caller_link.ts
@@ -118,6 +118,9 @@
     address: string,
     onCaller: (link: CallerLink) => CallerEventSink,
   ): Promise<void>;
-  /** Stops accepting connections. */
-  abstract close(): void;
+  /**
+   * Stops accepting connections. Resolves once those that are open have ended, so
+   * that everything written to them has been sent.
+   */
+  abstract close(): Promise<void>;
 }
--- a/packages/gateway/src/session/__tests__/session_task.test.ts
+++ b/packages/gateway/src/session/__tests__/session_task.test.ts
@@ -16,6 +16,7 @@
 
 /** How long a test waits for pending statements to finish. */
 const SETTLE_MS = 40;
+const CONNECTION_LIMIT = 1;
 
 /** Records what the session sends to its caller. */
 class FakeCaller extends CallerLink {
@@ -96,8 +97,8 @@
 afterEach(() => group?.close());
 
 /** Starts a session with a fake caller and a group of fake members. */
-function start() {
-  const fake = new FakeGroup();
+function start(connectionLimit?: number) {
+  const fake = new FakeGroup(connectionLimit);
   group = fake;
   const clock = (): number => performance.now();
   const log = silentLogger();
@@ -303,6 +304,28 @@
     },
   );
 
+  // Guards against a request that waits for a connection as its VM exits, and is
+  // cut off without an answer; and against one that then runs outside its
+  // transaction.
+  it.each<[string, CallerStatement[], CallerStatement[]]>([
+    ['waits for a connection', [], [READ]],
+    ['belongs to a transaction', [BEGIN, WRITE], [WRITE, COMMIT]],
+  ])('answers a request that %s as its VM exits', async (unused, ...steps) => {
+    const {fake, caller, session, open, run} = start(CONNECTION_LIMIT);
+    const [before, during] = steps;
+    open();
+    await run(...before);
+    if (before.length === 0) await fake.checkOutPrimary();
+    const answered = run(...during);
+    fake.close();
+    session.tell({kind: 'close'});
+    await answered;
+    expect({
+      caller: caller.seen,
+      primary: fake.member('a').requests,
+    }).toMatchSnapshot();
+  });
+
   // Guards against a shutdown that aborts an open transaction, and against one
   // that waits for idle sessions.
   it('closes after the open transaction when it drains', async () => {
--- /dev/null
+++ b/packages/gateway/src/session/failed_transaction.ts
@@ -0,0 +1,28 @@
+import type {CallerStatement, SessionReply} from '../ports/caller_link.js';
+
+/** The reply to a statement, and whether it ends the transaction. */
+export interface ReplyAfterFailure {
+  readonly reply: SessionReply;
+  readonly transaction: 'ended' | 'failed';
+}
+
+/**
+ * Decides the reply to a statement whose transaction has failed. A rollback or
+ * commit ends the transaction; other statements are refused.
+ */
+export function replyAfterFailure({kind}: CallerStatement): ReplyAfterFailure {
+  switch (kind) {
+    case 'rollback':
+      return {reply: {kind: 'local'}, transaction: 'ended'};
+    case 'commit': {
+      const detail = 'the transaction was rolled back';
+      const refusal = {kind: 'aborted', detail} as const;
+      return {reply: {kind: 'refused', refusal}, transaction: 'ended'};
+    }
+    default: {
+      const detail = 'the transaction has failed';
+      const refusal = {kind: 'malformed', detail} as const;
+      return {reply: {kind: 'refused', refusal}, transaction: 'failed'};
+    }
+  }
+}
--- a/packages/gateway/src/session/session_message.ts
+++ b/packages/gateway/src/session/session_message.ts
@@ -19,6 +19,8 @@
   | {readonly kind: 'reconfigured'}
   /** The VM stops: the session closes as soon as no transaction is open. */
   | {readonly kind: 'drain'}
+  /** The VM exits: the session closes once requests that arrived are answered. */
+  | {readonly kind: 'close'}
   /** Rolls back an open transaction at once. */
   | {readonly kind: 'abort-transaction'}
   /** The open transaction exceeded its idle timeout. */
--- a/packages/gateway/src/session/session_task.ts
+++ b/packages/gateway/src/session/session_task.ts
@@ -14,6 +14,7 @@
   SessionReply,
 } from '../ports/caller_link.js';
 import type {MemberAnswer, MemberCommand} from '../ports/member_link.js';
+import {replyAfterFailure} from './failed_transaction.js';
 import {OpenTransaction} from './open_transaction.js';
 import {resolveCaller} from './route_filter.js';
 import type {SessionMessage, SessionDependencies} from './session_message.js';
@@ -37,7 +38,8 @@
 export class SessionTask extends Task<SessionMessage> {
   private database = '';
   private key = '';
-  private phase: 'new' | 'open' | 'draining' | 'closed' = 'new';
+  /** `draining` closes once no transaction is open, `closing` does not wait. */
+  private phase: 'new' | 'open' | 'draining' | 'closing' | 'closed' = 'new';
   private readonly values = new Map<string, string>();
   private readonly prepared = new Map<string, PreparedStatement>();
   private transaction: SessionTransaction = {kind: 'none'};
@@ -59,7 +61,7 @@
       return;
     }
     await this.dispatch(message);
-    if (this.phase === 'draining') await this.closeIfIdle();
+    await this.closeIfIdle();
   }
 
   private async dispatch(message: SessionMessage): Promise<void> {
@@ -71,7 +73,11 @@
         await this.handleReconfiguration();
         return;
       case 'drain':
-        this.phase = 'draining';
+        if (this.phase !== 'closing') this.phase = 'draining';
+        return;
+      case 'close':
+        this.phase = 'closing';
+        await this.failTransaction();
         return;
       case 'abort-transaction':
       case 'transaction-idle':
@@ -126,7 +132,7 @@
     }
     this.database = database;
     this.key = key;
-    this.phase = this.phase === 'draining' ? 'draining' : 'open';
+    if (this.phase === 'new') this.phase = 'open';
     this.link.accept();
   }
 
@@ -177,19 +183,10 @@
     id: string,
     statement: CallerStatement,
   ): void {
-    if (statement.kind === 'rollback') {
-      this.transaction = {kind: 'none'};
-      this.reply(LOCAL_REPLY);
-      return;
-    }
-    if (statement.kind === 'commit') {
-      this.transaction = {kind: 'none'};
-      const detail = 'the transaction was rolled back';
-      this.refuse(id, {kind: 'aborted', detail});
-      return;
-    }
-    const detail = 'the transaction has failed';
-    this.refuse(id, {kind: 'malformed', detail});
+    const {reply, transaction} = replyAfterFailure(statement);
+    if (transaction === 'ended') this.transaction = {kind: 'none'};
+    if (reply.kind === 'refused') this.refuse(id, reply.refusal);
+    else this.reply(reply);
   }
 
   private deallocate(id: string, name: string): void {
@@ -346,7 +343,9 @@
     const found = resolveCaller(configuration, this.database, this.key);
     if (found.ok) return;
     await this.failTransaction();
-    if (this.transaction.kind === 'none') this.phase = 'draining';
+    if (this.transaction.kind === 'none' && this.phase === 'open') {
+      this.phase = 'draining';
+    }
   }
 
   private async failTransaction(): Promise<void> {
@@ -369,9 +368,12 @@
     );
   }
 
-  /** Closes the session unless requests that have arrived wait for an answer. */
+  /** Closes a session that ends, once requests that arrived are answered. */
   private async closeIfIdle(): Promise<void> {
-    if (this.transaction.kind !== 'none' || this.backlog > 0) return;
+    const mayClose =
+      this.phase === 'closing' ||
+      (this.phase === 'draining' && this.transaction.kind === 'none');
+    if (!mayClose || this.backlog > 0) return;
     await this.link.receivePending();
     if (this.backlog > 0) return;
     this.link.close();
--- a/packages/gateway/src/testing/fake_group.ts
+++ b/packages/gateway/src/testing/fake_group.ts
@@ -1,13 +1,19 @@
 import type {
   PrimaryLeaseDecision,
+  Result,
   VersionedLeadership,
 } from '@pistachiorill/core';
+import {ask} from '@pistachiorill/tasks';
 import {createLogger} from '@pistachiorill/telemetry';
 import type {Logger} from '@pistachiorill/telemetry';
+import type {Checkout, CheckoutRefusal} from '../database/checkout.js';
 import {DatabaseTask} from '../database/database_task.js';
 import type {ListedMember} from '../ports/member_directory.js';
 import {FakeLinkFactory} from './fake_member.js';
 
+/** Longer than a test, so that no check-out is refused for its wait. */
+const CHECKOUT_WAIT_MS = 10_000;
+
 /** Creates a logger that writes nothing. */
 export function silentLogger(): Logger {
   const log = createLogger('vm-test', 'error');
@@ -104,6 +110,25 @@
     this.task.tell({kind: 'leadership', leadership: {record, version}});
   }
 
+  /** Checks out one connection to the primary for a transaction. */
+  checkOutPrimary(): Promise<Result<Checkout, CheckoutRefusal>> {
+    return ask(reply =>
+      this.task.tell({
+        kind: 'check-out',
+        request: {
+          workspace: 'growers',
+          values: new Map(),
+          use: 'transaction',
+          requirement: {kind: 'primary'},
+          excluded: [],
+          regions: [],
+          until: performance.now() + CHECKOUT_WAIT_MS,
+        },
+        reply,
+      }),
+    );
+  }
+
   close(): void {
     this.task.tell({kind: 'close'});
   }
