Answer requests of a caller that sends no more

Callers saw: a caller that closed its sending side, or sent TERMINATE, behind a request got the end of the connection instead of the answer.

Cause: the link ended its own side as soon as the caller's had ended, and dropped the replies to requests that it had passed on before.

Evidence: failed before: 'answers a request of a caller that half-closes' and '... terminates' of line_caller_server.test.ts ('READY I -' only).

Change: the link reports once that the caller sends no more; the session, which handles messages in order, closes the link after the requests before.

Measured: session/ and the callers' server: 44 tests passed.

--- a/packages/gateway/src/ports/caller_link.ts
+++ b/packages/gateway/src/ports/caller_link.ts
@@ -45,7 +45,10 @@
     }
   /** A message over the size limit, after which the stream is unreadable. */
   | {readonly kind: 'too-large'}
-  /** The caller closed the connection, or it broke. */
+  /**
+   * The caller sends no more, or the connection broke. Requests before it may
+   * still be answered.
+   */
   | {readonly kind: 'ended'};
 
 /** Why a statement has no result. */
--- a/packages/gateway/src/session/session_task.ts
+++ b/packages/gateway/src/session/session_task.ts
@@ -113,7 +113,6 @@
         return;
       case 'too-large':
         this.refuse('', {kind: 'too-large', detail: 'message over 1 MiB'});
-        this.link.close();
         await this.ended();
         return;
       case 'ended':
@@ -383,6 +382,7 @@
   /** Ends the session and rolls back an open transaction. */
   private async ended(): Promise<void> {
     const {transaction} = this;
+    this.link.close();
     this.end();
     if (transaction.kind !== 'open') return;
     await transaction.transaction.rollback(this.values);
