Answer a statement that fails with an unexpected error

Callers saw: after an unexpected error in the handling of a statement, the end of the connection instead of an answer, also for requests behind it.

Cause: Task.onFailure is not told which message failed, so the session closed its connection.

Evidence: failed before: 'answers a request that fails unexpectedly' ('closed', 'ended' instead of an answer).

Change: the session answers 'unknown outcome', fails an open transaction and goes on. The idle timer and the transaction's state move to files of their own.

Measured: session/ and the stop over a real process: 38 tests passed.

--- a/packages/gateway/src/session/__tests__/session_task.test.ts
+++ b/packages/gateway/src/session/__tests__/session_task.test.ts
@@ -339,6 +339,20 @@
     expect({duringTransaction, after: caller.seen}).toMatchSnapshot();
   });
 
+  // Guards against a request without an answer, and against a lost session, after
+  // an unexpected error.
+  it('answers a request that fails unexpectedly', async () => {
+    const {fake, caller, open, run} = start();
+    open();
+    fake.task.tell = () => {
+      throw new Error('unexpected');
+    };
+    await run(READ);
+    Reflect.deleteProperty(fake.task, 'tell');
+    await run(READ);
+    expect(caller.seen).toMatchSnapshot();
+  });
+
   // Guards against a transaction that stays open after its caller disconnected.
   it('rolls back if the caller disconnects', async () => {
     const {fake, session, open, run} = start();
--- a/packages/gateway/src/session/session_task.ts
+++ b/packages/gateway/src/session/session_task.ts
@@ -14,7 +14,7 @@
   SessionReply,
 } from '../ports/caller_link.js';
 import type {MemberAnswer, MemberCommand} from '../ports/member_link.js';
-import {replyAfterFailure} from './failed_transaction.js';
+import {IdleTimer} from './idle_timer.js';
 import {OpenTransaction} from './open_transaction.js';
 import {resolveCaller} from './route_filter.js';
 import type {SessionMessage, SessionDependencies} from './session_message.js';
@@ -23,14 +23,8 @@
   recordSessionRefusal,
   recordStatementRefusal,
 } from './session_records.js';
-
-/** The state of a session's transaction. */
-type SessionTransaction =
-  | {readonly kind: 'none'}
-  /** Begun by the caller; the first statement determines the member. */
-  | {readonly kind: 'begun'; readonly access: StatementAccess}
-  | {readonly kind: 'open'; readonly transaction: OpenTransaction}
-  | {readonly kind: 'failed'};
+import {replyAfterFailure, reportedState} from './session_transaction.js';
+import type {SessionTransaction} from './session_transaction.js';
 
 const LOCAL_REPLY: SessionReply = {kind: 'local'};
 
@@ -45,7 +39,9 @@
   private transaction: SessionTransaction = {kind: 'none'};
   /** The log position of the session's last commit. */
   private seen: LogPosition | undefined;
-  private idleTimer: NodeJS.Timeout | undefined;
+  private readonly idleTimer = new IdleTimer(() =>
+    this.tell({kind: 'transaction-idle'}),
+  );
 
   constructor(
     private readonly link: CallerLink,
@@ -104,8 +100,8 @@
         this.open(event.database, event.key);
         return;
       case 'statement':
-        clearTimeout(this.idleTimer);
-        await this.statement(event.id, event.statement, receivedAt);
+        this.idleTimer.stop();
+        await this.answerStatement(event, receivedAt);
         this.startTransactionTimeout();
         return;
       case 'malformed':
@@ -135,6 +131,20 @@
     this.link.accept();
   }
 
+  /** Runs a statement; the caller gets an answer to an unexpected error too. */
+  private async answerStatement(
+    {id, statement}: Extract<CallerEvent, {kind: 'statement'}>,
+    receivedAt: number,
+  ): Promise<void> {
+    try {
+      await this.statement(id, statement, receivedAt);
+    } catch (err) {
+      this.deps.log.error({event: 'session.failed', err}, 'session failed');
+      await this.failTransaction();
+      this.refuse(id, {kind: 'unknown-outcome', detail: 'internal error'});
+    }
+  }
+
   private async statement(
     id: string,
     statement: CallerStatement,
@@ -324,10 +334,7 @@
   }
 
   private reply(reply: SessionReply, position?: LogPosition): void {
-    const {kind} = this.transaction;
-    const transaction =
-      kind === 'none' ? 'none' : kind === 'failed' ? 'failed' : 'open';
-    this.link.reply(reply, transaction, position);
+    this.link.reply(reply, reportedState(this.transaction), position);
   }
 
   private refuse(id: string, refusal: SessionRefusal): void {
@@ -357,14 +364,8 @@
 
   /** Limits the idle time, as a transaction holds a scarce connection. */
   private startTransactionTimeout(): void {
-    clearTimeout(this.idleTimer);
     if (this.transaction.kind !== 'open' || this.phase === 'closed') return;
-    const idleMs = this.deps.configuration()?.transactionIdleMs ?? 0;
-    if (idleMs <= 0) return;
-    this.idleTimer = setTimeout(
-      () => this.tell({kind: 'transaction-idle'}),
-      idleMs,
-    );
+    this.idleTimer.start(this.deps.configuration()?.transactionIdleMs ?? 0);
   }
 
   /** Closes a session that ends, once requests that arrived are answered. */
@@ -392,7 +393,7 @@
   private end(): void {
     if (this.phase === 'closed') return;
     this.phase = 'closed';
-    clearTimeout(this.idleTimer);
+    this.idleTimer.stop();
     this.onEnded();
   }
 }
--- a/packages/gateway/src/session/failed_transaction.ts
+++ b/packages/gateway/src/session/session_transaction.ts
@@ -1,4 +1,20 @@
+import type {StatementAccess} from '@pistachiorill/core';
 import type {CallerStatement, SessionReply} from '../ports/caller_link.js';
+import type {TransactionState} from '../ports/member_link.js';
+import type {OpenTransaction} from './open_transaction.js';
+
+/** The state of a session's transaction. */
+export type SessionTransaction =
+  | {readonly kind: 'none'}
+  /** Begun by the caller; the first statement determines the member. */
+  | {readonly kind: 'begun'; readonly access: StatementAccess}
+  | {readonly kind: 'open'; readonly transaction: OpenTransaction}
+  | {readonly kind: 'failed'};
+
+/** The state that a caller is told with each reply. */
+export function reportedState({kind}: SessionTransaction): TransactionState {
+  return kind === 'begun' ? 'open' : kind;
+}
 
 /** The reply to a statement, and whether it ends the transaction. */
 export interface ReplyAfterFailure {
