--- a/packages/gateway/src/ports/caller_link.ts
+++ b/packages/gateway/src/ports/caller_link.ts
@@ -45,7 +45,10 @@
     }
   /** A message over the size limit, after which the stream is unreadable. */
   | {readonly kind: 'too-large'}
-  /** The caller closed the connection, or it broke. */
+  /**
+   * The caller sends no more, or the connection broke. Requests before it may
+   * still be answered.
+   */
   | {readonly kind: 'ended'};
 
 /** Why a statement has no result. */
@@ -98,6 +101,12 @@
     transaction: TransactionState,
     position: LogPosition | undefined,
   ): void;
+  /**
+   * Resolves once the requests that have arrived by now are passed on as events.
+   * They can be in a buffer of the operating system for as long as this process
+   * is busy.
+   */
+  abstract receivePending(): Promise<void>;
   /** Closes the connection after pending replies are delivered. */
   abstract close(): void;
 }
@@ -112,6 +121,9 @@
     address: string,
     onCaller: (link: CallerLink) => CallerEventSink,
   ): Promise<void>;
-  /** Stops accepting connections. */
-  abstract close(): void;
+  /**
+   * Stops accepting connections. Resolves once those that are open have ended, so
+   * that everything written to them has been sent.
+   */
+  abstract close(): Promise<void>;
 }
--- a/packages/gateway/src/session/__tests__/session_task.test.ts
+++ b/packages/gateway/src/session/__tests__/session_task.test.ts
@@ -16,11 +16,14 @@
 
 /** How long a test waits for pending statements to finish. */
 const SETTLE_MS = 40;
+const CONNECTION_LIMIT = 1;
 
 /** Records what the session sends to its caller. */
 class FakeCaller extends CallerLink {
   /** The replies and other calls as text, in order. */
   readonly seen: string[] = [];
+  /** Delivers requests that arrived and were not read yet. */
+  pending: () => void = () => undefined;
   private open = true;
 
   override get isOpen(): boolean {
@@ -39,6 +42,10 @@
     this.seen.push(`${describeReply(reply)}, transaction ${transaction}`);
   }
 
+  override async receivePending(): Promise<void> {
+    this.pending();
+  }
+
   override close(): void {
     if (this.open) this.seen.push('closed');
     this.open = false;
@@ -90,8 +97,8 @@
 afterEach(() => group?.close());
 
 /** Starts a session with a fake caller and a group of fake members. */
-function start() {
-  const fake = new FakeGroup();
+function start(connectionLimit?: number) {
+  const fake = new FakeGroup(connectionLimit);
   group = fake;
   const clock = (): number => performance.now();
   const log = silentLogger();
@@ -273,6 +280,52 @@
     },
   );
 
+  // Guards against a request that is cut off without an answer, because it was
+  // still in the socket's buffer when its session closed.
+  it.each(['reconfigured', 'drain'] as const)(
+    'answers a request that has arrived unread: %s',
+    async kind => {
+      const {fake, caller, session, state, open, run} = start();
+      open();
+      await settle();
+      if (kind === 'reconfigured') {
+        state.configuration = {...CONFIGURATION, keys: new Map()};
+      }
+      caller.pending = () => {
+        caller.pending = () => undefined;
+        void run(READ);
+      };
+      session.tell({kind});
+      await settle();
+      expect({
+        caller: caller.seen,
+        primary: fake.member('a').requests,
+      }).toMatchSnapshot();
+    },
+  );
+
+  // Guards against a request that waits for a connection as its VM exits, and is
+  // cut off without an answer; and against one that then runs outside its
+  // transaction.
+  it.each<[string, CallerStatement[], CallerStatement[]]>([
+    ['waits for a connection', [], [READ]],
+    ['belongs to a transaction', [BEGIN, WRITE], [WRITE, COMMIT]],
+  ])('answers a request that %s as its VM exits', async (unused, ...steps) => {
+    const {fake, caller, session, open, run} = start(CONNECTION_LIMIT);
+    const [before, during] = steps;
+    open();
+    await run(...before);
+    if (before.length === 0) await fake.checkOutPrimary();
+    const answered = run(...during);
+    fake.close();
+    session.tell({kind: 'close'});
+    await answered;
+    expect({
+      caller: caller.seen,
+      primary: fake.member('a').requests,
+    }).toMatchSnapshot();
+  });
+
   // Guards against a shutdown that aborts an open transaction, and against one
   // that waits for idle sessions.
   it('closes after the open transaction when it drains', async () => {
@@ -286,6 +339,20 @@
     expect({duringTransaction, after: caller.seen}).toMatchSnapshot();
   });
 
+  // Guards against a request without an answer, and against a lost session, after
+  // an unexpected error.
+  it('answers a request that fails unexpectedly', async () => {
+    const {fake, caller, open, run} = start();
+    open();
+    fake.task.tell = () => {
+      throw new Error('unexpected');
+    };
+    await run(READ);
+    Reflect.deleteProperty(fake.task, 'tell');
+    await run(READ);
+    expect(caller.seen).toMatchSnapshot();
+  });
+
   // Guards against a transaction that stays open after its caller disconnected.
   it('rolls back if the caller disconnects', async () => {
     const {fake, session, open, run} = start();
--- a/packages/gateway/src/session/session_task.ts
+++ b/packages/gateway/src/session/session_task.ts
@@ -14,17 +14,17 @@
   SessionReply,
 } from '../ports/caller_link.js';
 import type {MemberAnswer, MemberCommand} from '../ports/member_link.js';
+import {IdleTimer} from './idle_timer.js';
 import {OpenTransaction} from './open_transaction.js';
 import {resolveCaller} from './route_filter.js';
 import type {SessionMessage, SessionDependencies} from './session_message.js';
-
-/** The state of a session's transaction. */
-type SessionTransaction =
-  | {readonly kind: 'none'}
-  /** Begun by the caller; the first statement determines the member. */
-  | {readonly kind: 'begun'; readonly access: StatementAccess}
-  | {readonly kind: 'open'; readonly transaction: OpenTransaction}
-  | {readonly kind: 'failed'};
+import {
+  recordAfterClose,
+  recordSessionRefusal,
+  recordStatementRefusal,
+} from './session_records.js';
+import {replyAfterFailure, reportedState} from './session_transaction.js';
+import type {SessionTransaction} from './session_transaction.js';
 
 const LOCAL_REPLY: SessionReply = {kind: 'local'};
 
@@ -32,13 +32,16 @@
 export class SessionTask extends Task<SessionMessage> {
   private database = '';
   private key = '';
-  private phase: 'new' | 'open' | 'draining' | 'closed' = 'new';
+  /** `draining` closes once no transaction is open, `closing` does not wait. */
+  private phase: 'new' | 'open' | 'draining' | 'closing' | 'closed' = 'new';
   private readonly values = new Map<string, string>();
   private readonly prepared = new Map<string, PreparedStatement>();
   private transaction: SessionTransaction = {kind: 'none'};
   /** The log position of the session's last commit. */
   private seen: LogPosition | undefined;
-  private idleTimer: NodeJS.Timeout | undefined;
+  private readonly idleTimer = new IdleTimer(() =>
+    this.tell({kind: 'transaction-idle'}),
+  );
 
   constructor(
     private readonly link: CallerLink,
@@ -49,10 +52,12 @@
   }
 
   protected override async handle(message: SessionMessage): Promise<void> {
-    if (this.phase === 'closed') return;
+    if (this.phase === 'closed') {
+      recordAfterClose(this.deps, this.database, message);
+      return;
+    }
     await this.dispatch(message);
-    // Requests that have arrived already are answered first.
-    if (this.phase === 'draining' && this.backlog === 0) this.closeIfIdle();
+    await this.closeIfIdle();
   }
 
   private async dispatch(message: SessionMessage): Promise<void> {
@@ -64,7 +69,11 @@
         await this.handleReconfiguration();
         return;
       case 'drain':
-        this.phase = 'draining';
+        if (this.phase !== 'closing') this.phase = 'draining';
+        return;
+      case 'close':
+        this.phase = 'closing';
+        await this.failTransaction();
         return;
       case 'abort-transaction':
       case 'transaction-idle':
@@ -91,8 +100,8 @@
         this.open(event.database, event.key);
         return;
       case 'statement':
-        clearTimeout(this.idleTimer);
-        await this.statement(event.id, event.statement, receivedAt);
+        this.idleTimer.stop();
+        await this.answerStatement(event, receivedAt);
         this.startTransactionTimeout();
         return;
       case 'malformed':
@@ -100,7 +109,6 @@
         return;
       case 'too-large':
         this.refuse('', {kind: 'too-large', detail: 'message over 1 MiB'});
-        this.link.close();
         await this.ended();
         return;
       case 'ended':
@@ -112,21 +120,31 @@
   private open(database: string, key: string): void {
     const found = resolveCaller(this.deps.configuration(), database, key);
     if (!found.ok) {
-      this.deps.metrics.refused(found.err.kind);
-      this.deps.log.info(
-        {event: 'session.refused', database, refusal: found.err},
-        'session refused',
-      );
+      recordSessionRefusal(this.deps, database, found.err);
       this.link.reject(found.err);
       this.end();
       return;
     }
     this.database = database;
     this.key = key;
-    this.phase = this.phase === 'draining' ? 'draining' : 'open';
+    if (this.phase === 'new') this.phase = 'open';
     this.link.accept();
   }
 
+  /** Runs a statement; the caller gets an answer to an unexpected error too. */
+  private async answerStatement(
+    {id, statement}: Extract<CallerEvent, {kind: 'statement'}>,
+    receivedAt: number,
+  ): Promise<void> {
+    try {
+      await this.statement(id, statement, receivedAt);
+    } catch (err) {
+      this.deps.log.error({event: 'session.failed', err}, 'session failed');
+      await this.failTransaction();
+      this.refuse(id, {kind: 'unknown-outcome', detail: 'internal error'});
+    }
+  }
+
   private async statement(
     id: string,
     statement: CallerStatement,
@@ -174,19 +192,10 @@
     id: string,
     statement: CallerStatement,
   ): void {
-    if (statement.kind === 'rollback') {
-      this.transaction = {kind: 'none'};
-      this.reply(LOCAL_REPLY);
-      return;
-    }
-    if (statement.kind === 'commit') {
-      this.transaction = {kind: 'none'};
-      const detail = 'the transaction was rolled back';
-      this.refuse(id, {kind: 'aborted', detail});
-      return;
-    }
-    const detail = 'the transaction has failed';
-    this.refuse(id, {kind: 'malformed', detail});
+    const {reply, transaction} = replyAfterFailure(statement);
+    if (transaction === 'ended') this.transaction = {kind: 'none'};
+    if (reply.kind === 'refused') this.refuse(id, reply.refusal);
+    else this.reply(reply);
   }
 
   private deallocate(id: string, name: string): void {
@@ -325,24 +334,11 @@
   }
 
   private reply(reply: SessionReply, position?: LogPosition): void {
-    const {kind} = this.transaction;
-    const transaction =
-      kind === 'none' ? 'none' : kind === 'failed' ? 'failed' : 'open';
-    this.link.reply(reply, transaction, position);
+    this.link.reply(reply, reportedState(this.transaction), position);
   }
 
   private refuse(id: string, refusal: SessionRefusal): void {
-    this.deps.metrics.refused(refusal.kind);
-    this.deps.log.info(
-      {
-        event: 'statement.refused',
-        request: id,
-        database: this.database,
-        configuration: this.deps.configuration()?.version,
-        refusal,
-      },
-      'statement refused',
-    );
+    recordStatementRefusal(this.deps, id, this.database, refusal);
     this.reply({kind: 'refused', refusal});
   }
 
@@ -353,7 +349,9 @@
     const found = resolveCaller(configuration, this.database, this.key);
     if (found.ok) return;
     await this.failTransaction();
-    if (this.transaction.kind === 'none') this.phase = 'draining';
+    if (this.transaction.kind === 'none' && this.phase === 'open') {
+      this.phase = 'draining';
+    }
   }
 
   private async failTransaction(): Promise<void> {
@@ -366,18 +364,18 @@
 
   /** Limits the idle time, as a transaction holds a scarce connection. */
   private startTransactionTimeout(): void {
-    clearTimeout(this.idleTimer);
     if (this.transaction.kind !== 'open' || this.phase === 'closed') return;
-    const idleMs = this.deps.configuration()?.transactionIdleMs ?? 0;
-    if (idleMs <= 0) return;
-    this.idleTimer = setTimeout(
-      () => this.tell({kind: 'transaction-idle'}),
-      idleMs,
-    );
+    this.idleTimer.start(this.deps.configuration()?.transactionIdleMs ?? 0);
   }
 
-  private closeIfIdle(): void {
-    if (this.transaction.kind !== 'none') return;
+  /** Closes a session that ends, once requests that arrived are answered. */
+  private async closeIfIdle(): Promise<void> {
+    const mayClose =
+      this.phase === 'closing' ||
+      (this.phase === 'draining' && this.transaction.kind === 'none');
+    if (!mayClose || this.backlog > 0) return;
+    await this.link.receivePending();
+    if (this.backlog > 0) return;
     this.link.close();
     this.end();
   }
@@ -385,6 +383,7 @@
   /** Ends the session and rolls back an open transaction. */
   private async ended(): Promise<void> {
     const {transaction} = this;
+    this.link.close();
     this.end();
     if (transaction.kind !== 'open') return;
     await transaction.transaction.rollback(this.values);
@@ -394,7 +393,7 @@
   private end(): void {
     if (this.phase === 'closed') return;
     this.phase = 'closed';
-    clearTimeout(this.idleTimer);
+    this.idleTimer.stop();
     this.onEnded();
   }
 }
