Expect no lost request in the short run of planned work

The report of a run also has the time in which the process of the soak did not run. It is high when a run is too large for the machine, as with 40 VMs beside other work, so that such a run is not taken for a fault of the VMs.

--- a/soak/src/__tests__/soak.test.ts
+++ b/soak/src/__tests__/soak.test.ts
@@ -50,8 +50,8 @@
   });
 
   // Guards against requests that are lost when VMs are stopped and restarted and
-  // configurations change. Red: a second signal ends a draining process at once.
-  it.fails('known red, finds no violation in planned work', async () => {
+  // configurations change, as when a second signal ended a draining process.
+  it('finds no violation in a short run of planned work', async () => {
     const size = {lengthMs: 9_000, vms: 3, callers: 4, holders: 6};
     expect(await violationsOf(3, size, 'planned')).toEqual([]);
   });
--- a/soak/src/run_soak.ts
+++ b/soak/src/run_soak.ts
@@ -63,6 +63,8 @@
   /** Requests whose connection ended without an answer, allowed or not. */
   readonly cut: number;
   readonly peakMemoryMb: number;
+  /** The time in which this process did not run. */
+  readonly stalledMs: number;
   readonly violations: readonly Violation[];
 }
 
@@ -158,6 +160,7 @@
     promotions: history.promotions.length,
     cut: history.exchanges.filter(item => item.end === 'cut').length,
     peakMemoryMb: memoryWatch.peakMb,
+    stalledMs: stallMonitor.stalledMs,
     violations,
   };
 }
--- a/soak/src/stall_monitor.ts
+++ b/soak/src/stall_monitor.ts
@@ -22,6 +22,15 @@
     return this.found;
   }
 
+  /** The sum of all stalls; high when the run is too large for the machine. */
+  get stalledMs(): number {
+    const sum = this.found.reduce(
+      (ms, {fromMs, toMs}) => ms + toMs - fromMs,
+      0,
+    );
+    return Math.round(sum);
+  }
+
   stop(): void {
     clearInterval(this.timer);
   }
