Change the settings file before each SIGHUP of the soak

SIGHUP announces a changed file, but the soak never changed it, so that the gateway had nothing to apply. The level of the log now alternates. The file is replaced by a rename, as a process that starts may be reading it.

--- a/soak/src/__tests__/vm_process.test.ts
+++ b/soak/src/__tests__/vm_process.test.ts
@@ -14,10 +14,14 @@
 
 /** A program that records its process id and runs until it is killed. */
 const PROGRAM = `
-import {appendFileSync} from 'node:fs';
-appendFileSync(\`\${process.argv.at(-1)}.pids\`, \`\${process.pid}\\n\`);
+import {appendFileSync, readFileSync} from 'node:fs';
 process.on('SIGTERM', () => undefined);
+process.on('SIGHUP', () => {
+  const [level] = readFileSync(process.argv.at(-1), 'utf8').match(/level.*/);
+  appendFileSync(\`\${process.argv.at(-1)}.levels\`, \`\${level}\\n\`);
+});
 setInterval(() => undefined, 1_000);
+appendFileSync(\`\${process.argv.at(-1)}.pids\`, \`\${process.pid}\\n\`);
 `;
 /** How long a second process would take to record its id. */
 const SECOND_START_MS = 500;
@@ -87,6 +91,26 @@
     expect({exits: vm.unexpectedExits, running}).toMatchSnapshot();
   });
 
+  // Guards against reloads that change nothing.
+  it('changes the settings before each SIGHUP', async () => {
+    const vm = newVm();
+    vm.start();
+    await hasStarted(1);
+    const levelsPath = join(folder, 'vm-1.ini.levels');
+    const levels = (): readonly string[] =>
+      existsSync(levelsPath)
+        ? readFileSync(levelsPath, 'utf8').trim().split('\n')
+        : [];
+    for (const count of [1, 2]) {
+      vm.reload();
+      await vi.waitFor(() => expect(levels()).toHaveLength(count), {
+        timeout: START_TIMEOUT_MS,
+      });
+    }
+    await vm.end('SIGKILL');
+    expect(levels()).toMatchSnapshot();
+  });
+
   // Guards against a run that waits for a process that does not stop.
   it('kills a process that outlasts its grace period', async () => {
     const vm = newVm();
--- a/soak/src/faults/planned_work_injector.ts
+++ b/soak/src/faults/planned_work_injector.ts
@@ -119,7 +119,7 @@
     for (let i = 0; i < RELOADS; i++) {
       await sleep(random.integer(0, (2 * withinMs) / RELOADS));
       this.record.signalled('sighup', vm.name);
-      vm.signal('SIGHUP');
+      vm.reload();
     }
   }
 
--- a/soak/src/vm_process.ts
+++ b/soak/src/vm_process.ts
@@ -1,6 +1,13 @@
 import {spawn} from 'node:child_process';
 import type {ChildProcess} from 'node:child_process';
-import {closeSync, fstatSync, openSync, statSync, writeFileSync} from 'node:fs';
+import {
+  closeSync,
+  fstatSync,
+  openSync,
+  renameSync,
+  statSync,
+  writeFileSync,
+} from 'node:fs';
 import {join} from 'node:path';
 import {LOOPBACK_HOST} from '@pistachiorill/platform/standins';
 import type {VmEndpoints} from '@pistachiorill/platform/standins';
@@ -24,6 +31,7 @@
 /** One gateway process, which the soak test starts, signals and restarts. */
 export class VmProcess {
   private child: ChildProcess | undefined;
+  private logLevel: 'info' | 'debug' = 'info';
   private readonly settingsPath: string;
   private readonly logPath: string;
   /** The processes that were sent a signal that may end them. */
@@ -39,7 +47,7 @@
   ) {
     this.settingsPath = join(folder, `${name}.ini`);
     this.logPath = join(folder, `${name}.log`);
-    writeFileSync(this.settingsPath, this.settings());
+    this.writeSettings();
   }
 
   /** The address to which callers connect. */
@@ -89,6 +97,13 @@
     child?.kill(signal);
   }
 
+  /** Changes the settings file and announces this with SIGHUP. */
+  reload(): void {
+    this.logLevel = this.logLevel === 'info' ? 'debug' : 'info';
+    this.writeSettings();
+    this.signal('SIGHUP');
+  }
+
   /**
    * Stops the process as the platform does, with SIGTERM and, at the end of the
    * grace period, SIGKILL. Waits for its exit.
@@ -117,6 +132,13 @@
     return hasEnded ? undefined : child;
   }
 
+  /** Replaces the file, as a process that starts may be reading it. */
+  private writeSettings(): void {
+    const newPath = `${this.settingsPath}.new`;
+    writeFileSync(newPath, this.settings());
+    renameSync(newPath, this.settingsPath);
+  }
+
   /** Renders the settings file of the gateway. */
   private settings(): string {
     const {callers, readiness, peers, metrics} = this.ports;
@@ -136,6 +158,8 @@
       `address = ${this.paths.orderAddress}`,
       '[limits]',
       `grace_ms = ${GRACE_MS}`,
+      '[log]',
+      `level = ${this.logLevel}`,
       '',
     ].join('\n');
   }
