Judge recovery over time in which the soak itself ran

On a busy machine the process of the soak, with its callers, did not run for 17 of 30 s (24 VMs, load 29). No caller started an operation in the last 1.5 s, and the run was reported as not recovered with 0 of 0 served. The recovery now lasts until the process has run for 1.5 s; the share that must be served is the same.

--- a/soak/src/run_soak.ts
+++ b/soak/src/run_soak.ts
@@ -69,7 +69,7 @@
 }
 
 const READY_TIMEOUT_MS = 20_000;
-/** The final part of a run, whose operations show whether the VMs recovered. */
+/** The part of a run whose operations show whether the VMs recovered. */
 const RECOVERY_MS = 1_500;
 /** Separates the random numbers of the callers that hold sessions. */
 const HOLDERS_SEED = 3_000_017;
@@ -95,7 +95,7 @@
   const callers = startCallers(settings, standins, vms, history, clock);
   const faults = planFaults(seed, lengthMs, plan);
   const startedAt = clock();
-  let stoppedAt = Infinity;
+  const recovery = {fromMs: Infinity, minServedShare: MIN_SERVED_SHARE};
   try {
     for (const fault of faults) {
       await sleep(Math.max(0, startedAt + fault.atMs - clock()));
@@ -105,8 +105,9 @@
     await sleep(Math.max(0, startedAt + lengthMs - clock()));
     await injector.waitForAll();
     // Then all VMs are undisturbed, and the checks that need this apply.
-    await sleep(CONTACT_MS + RECOVERY_MS);
-    stoppedAt = clock();
+    await sleep(CONTACT_MS);
+    recovery.fromMs = clock();
+    await stallMonitor.sleepRunning(RECOVERY_MS);
     for (const {caller} of callers) caller.stop();
     await Promise.all(callers.map(item => item.done));
   } finally {
@@ -138,10 +139,7 @@
     withdrawnAt: withdrawalTimes(standins),
     isUndisturbed: (address, fromMs, toMs) =>
       record.isUndisturbed(vmAt(address), fromMs, toMs),
-    recovery: {
-      fromMs: stoppedAt - RECOVERY_MS,
-      minServedShare: MIN_SERVED_SHARE,
-    },
+    recovery,
   });
   const violations = [
     ...otherViolations,
--- a/soak/src/stall_monitor.ts
+++ b/soak/src/stall_monitor.ts
@@ -1,3 +1,4 @@
+import {sleep} from '@pistachiorill/tasks';
 import type {Stall} from './checks/check_lost.js';
 
 const TICK_MS = 10;
@@ -31,6 +32,15 @@
     return Math.round(sum);
   }
 
+  /** Waits until this process has run for the given time, without stalls. */
+  async sleepRunning(forMs: number): Promise<void> {
+    const startMs = this.clock();
+    const stalledBefore = this.stalledMs;
+    const ranMs = (): number =>
+      this.clock() - startMs - (this.stalledMs - stalledBefore);
+    while (ranMs() < forMs) await sleep(TICK_MS);
+  }
+
   stop(): void {
     clearInterval(this.timer);
   }
