Order versions by the era of the store

What callers would see: after the store came back from a copy that is some seconds old, its versions are lower than those that a VM knows. A change of the operators that was acknowledged after that is not in force before the store's counter has passed the old version, and if the counter has passed it, rows that were written again below it are never read. A conditional write may also replace a row that its writer has not seen.

Cause: TableCopy, ConfigurationTask, rejectOlder and the relays order states by the store's counter alone, which is given out again after a restore.

Why it works: a version is now one number that orders by the era of the answer (the header Store-Era) and then by the counter, so that the copies, the relays and the registrations order correctly without a further change.

A write that is sent before this VM has seen any answer of the new era can still meet a row whose version has exactly the number that it names.

--- /dev/null
+++ b/packages/core/src/restore/index.ts
@@ -0,0 +1,1 @@
+export * from './store_version.js';
--- a/packages/gateway/src/fleet/fleet_task.ts
+++ b/packages/gateway/src/fleet/fleet_task.ts
@@ -1,6 +1,8 @@
 import {
   UNKNOWN_STORE_CLOCK,
+  counterOf,
   decideFollow,
+  eraOf,
   latestStoreTime,
   narrowStoreClock,
   widenStoreClock,
@@ -151,7 +153,11 @@
       }
       if (result.err.kind === 'history-lost') {
         this.deps.log.info(
-          {event: 'store.history-lost', version: this.copy.version},
+          {
+            event: 'store.history-lost',
+            version: counterOf(this.copy.version),
+            era: eraOf(this.copy.version),
+          },
           'the store lost the changes since this version; reading all rows',
         );
         next = 'all';
--- a/packages/gateway/src/operators/configuration_task.ts
+++ b/packages/gateway/src/operators/configuration_task.ts
@@ -1,4 +1,10 @@
-import {decideFollow, fail} from '@pistachiorill/core';
+import {
+  counterOf,
+  decideFollow,
+  describeVersion,
+  eraOf,
+  fail,
+} from '@pistachiorill/core';
 import type {Result} from '@pistachiorill/core';
 import type {StoreReadError} from '@pistachiorill/store';
 import {Task, settled, sleep} from '@pistachiorill/tasks';
@@ -195,7 +201,7 @@
     const {revision} = result.value;
     const registeredAt = this.deps.registeredAt() ?? 0;
     if (revision >= registeredAt) return result;
-    const detail = `stale answer: version ${revision}, registered at ${registeredAt}`;
+    const detail = `stale answer: version ${describeVersion(revision)}, registered at ${describeVersion(registeredAt)}`;
     return fail({kind: 'unavailable', detail});
   }
 
@@ -212,7 +218,8 @@
     this.deps.log.info(
       {
         event: 'configuration.history-lost',
-        revision: this.current?.revision,
+        revision: this.current && counterOf(this.current.revision),
+        era: this.current && eraOf(this.current.revision),
         unconfirmedMs: this.unconfirmedMs(now),
       },
       'the store lost the changes of the configuration; reading it again',
@@ -369,7 +376,8 @@
       {
         event: 'configuration.applied',
         from,
-        revision: state.revision,
+        revision: counterOf(state.revision),
+        era: eraOf(state.revision),
         version: state.configuration?.version,
         previousVersion: before?.configuration?.version,
         unconfirmedMs: this.unconfirmedMs(this.deps.clock()),
--- a/packages/peers/src/http_request.ts
+++ b/packages/peers/src/http_request.ts
@@ -1,5 +1,5 @@
 import {request} from 'node:http';
-import type {Agent} from 'node:http';
+import type {Agent, IncomingHttpHeaders} from 'node:http';
 
 /**
  * A failed request. `kind` is `unreachable` if no byte of it was sent, and
@@ -28,9 +28,11 @@
   readonly signal: AbortSignal | undefined;
 }
 
-/** The status and the whole body of a response. */
+/** The status, the headers and the whole body of a response. */
 export interface HttpResponse {
   readonly status: number;
+  /** By name in lower case. */
+  readonly headers: Readonly<IncomingHttpHeaders>;
   readonly body: string;
 }
 
@@ -101,6 +103,7 @@
         finish();
         resolve({
           status: res.statusCode ?? 0,
+          headers: res.headers,
           body: Buffer.concat(chunks).toString(),
         });
       });
--- a/packages/store/src/table_copy.ts
+++ b/packages/store/src/table_copy.ts
@@ -1,3 +1,4 @@
+import {describeVersion} from '@pistachiorill/core';
 import type {TableReadResult, TableRow} from './transactional_store.js';
 
 /** Whether an answer was applied, or is older than the copy. */
@@ -16,7 +17,9 @@
 /**
  * A local copy of a table. It holds all rows as of its version, and possibly
  * newer ones that this process wrote itself. It never goes back to an older
- * version: a store that lost its history may answer from an older state.
+ * version: a store that lost its history may answer from an older state. Once
+ * the store has gone back to an earlier copy, its versions are of a newer era,
+ * and thus higher than all before.
  */
 export class TableCopy {
   private readonly rows = new Map<string, TableRow>();
@@ -116,5 +119,6 @@
   copy: TableCopy,
   answer: Pick<TableReadResult, 'version'>,
 ): string {
-  return `stale answer: version ${answer.version}, known ${copy.version}`;
+  const given = describeVersion(answer.version);
+  return `stale answer: version ${given}, known ${describeVersion(copy.version)}`;
 }
