Keep the newer configuration when the store goes back to a copy

What callers would see: with versions ordered by era, the operators' rows of the copy replace the newer state. A withdrawn key is accepted again, an added route is unknown and a data centre out of service gets work, until the operators have written again what was lost.

Cause: a state of a newer era was taken as newer as a whole, although its rows come from a copy that may be older than the configuration in force.

Why it works: decideOperatorState (core) compares the newest state with the one in force when the era was first seen. A configuration with a lower version is not applied, new evacuations are, and data centres that were out stay out while the state is behind and for at least OPERATOR_REWRITE_MS (5 s). A process that has just started and reads a state of an era above 0 asks two peers first; a peer sends the state before the restore along. The log tells the stored version beside the one in force.

A process that starts when no peer has the earlier state has nothing to compare with.

--- a/packages/core/src/restore/index.ts
+++ b/packages/core/src/restore/index.ts
@@ -1,1 +1,2 @@
+export * from './decide_operator_state.js';
 export * from './store_version.js';
--- a/packages/gateway/src/operators/configuration_task.ts
+++ b/packages/gateway/src/operators/configuration_task.ts
@@ -8,17 +8,17 @@
 import type {Result} from '@pistachiorill/core';
 import type {StoreReadError} from '@pistachiorill/store';
 import {Task, settled, sleep} from '@pistachiorill/tasks';
-import type {Clock, Reply} from '@pistachiorill/tasks';
-import type {Logger} from '@pistachiorill/telemetry';
-import type {
-  ConfigurationSource,
-  OperatorState,
-} from '../ports/configuration_source.js';
+import type {Reply} from '@pistachiorill/tasks';
+import type {OperatorState} from '../ports/configuration_source.js';
 import type {RelayedConfiguration} from '../peers/gateway_handlers.js';
 import type {ConfigurationRequest} from '../peers/gateway_router.js';
-import type {PeerSet} from '../peers/peer_set.js';
 import {WaitingReplies} from '../peers/waiting_replies.js';
-import type {WatcherChoice} from '../peers/watcher_choice.js';
+import type {
+  ConfigurationDependencies,
+  ConfigurationMessage,
+} from './configuration_message.js';
+import {OperatorStates} from './operator_states.js';
+import {relayConfiguration} from './relay_configuration.js';
 
 /**
  * Reserved within the time to apply a change: to notice that a watch is overdue,
@@ -48,50 +48,13 @@
 const PEER_TIMEOUT_MS = 500;
 const PEER_COUNT = 2;
 
-/** Messages that the configuration task handles. */
-export type ConfigurationMessage =
-  | {readonly kind: 'start'}
-  /** The store or a peer sent a state, which may be an old one. */
-  | {
-      readonly kind: 'received';
-      readonly state: OperatorState;
-      readonly from: 'store' | 'peer';
-    }
-  /** The store confirmed through a watcher that the state was the newest. */
-  | {readonly kind: 'confirmed'; readonly at: number}
-  /** A peer asks for this VM's state. */
-  | {
-      readonly kind: 'relay';
-      readonly request: ConfigurationRequest;
-      readonly reply: Reply<RelayedConfiguration | undefined>;
-    }
-  | {readonly kind: 'stop'};
-
-/** Collaborators of the configuration task. */
-export interface ConfigurationDependencies {
-  readonly source: ConfigurationSource;
-  readonly peers: PeerSet;
-  /** The watcher that this VM follows, if it does not watch the store itself. */
-  readonly watcher: WatcherChoice;
-  /** The store's version of this process's registration, once it is known. */
-  readonly registeredAt: () => number | undefined;
-  readonly clock: Clock;
-  /** The time within which a change must be in force on this VM. */
-  readonly applyWithinMs: number;
-  /** Called when the store confirms which state is the newest. */
-  readonly onConfirmed: () => void;
-  readonly onApplied: (state: OperatorState) => void;
-  readonly onStoreFailure: (call: string) => void;
-  readonly log: Logger;
-  readonly onFailed: (err: unknown) => void;
-}
-
 /**
- * Owns the newest state that operators put in force. Only a state with a higher
- * revision replaces it.
+ * Owns the state that operators put in force. Only a state with a higher revision
+ * replaces it, and its configuration is never replaced by an older one.
  */
 export class ConfigurationTask extends Task<ConfigurationMessage> {
-  private current: OperatorState | undefined;
+  private readonly states = new OperatorStates();
+  private decisionTimer: NodeJS.Timeout | undefined;
   private phase: 'running' | 'stopped' = 'running';
   private storeFailures = 0;
   private askedStoreAt = -Infinity;
@@ -118,8 +81,12 @@
       case 'relay':
         this.relay(message.request, message.reply, this.deps.clock());
         return;
+      case 'decide':
+        this.decideAgain(this.deps.clock());
+        return;
       case 'stop':
         this.phase = 'stopped';
+        clearTimeout(this.decisionTimer);
         this.waitingPeers.release();
         return;
     }
@@ -151,6 +118,7 @@
       );
       if (result.ok) {
         this.recordStoreAnswer();
+        if (this.isUnsure(result.value)) await this.askPeers();
         this.tell({kind: 'received', state: result.value, from: 'store'});
         next = 'watch';
         // A read alone does not show that watches are answered again.
@@ -197,7 +165,7 @@
   private rejectOlder(
     result: Result<OperatorState, StoreReadError>,
   ): Result<OperatorState, StoreReadError> {
-    if (!result.ok || this.current) return result;
+    if (!result.ok || this.states.newest) return result;
     const {revision} = result.value;
     const registeredAt = this.deps.registeredAt() ?? 0;
     if (revision >= registeredAt) return result;
@@ -205,6 +173,15 @@
     return fail({kind: 'unavailable', detail});
   }
 
+  /**
+   * Whether a first state may be older than those of the peers. A store that went
+   * back to an earlier copy lacks what the operators have not written again, and
+   * a process that has just started has no state to compare it with.
+   */
+  private isUnsure({revision}: OperatorState): boolean {
+    return this.states.newest === undefined && eraOf(revision) > 0;
+  }
+
   private recordStoreAnswer(): void {
     if (this.storeFailures === 0) return;
     this.storeFailures = 0;
@@ -218,8 +195,7 @@
     this.deps.log.info(
       {
         event: 'configuration.history-lost',
-        revision: this.current && counterOf(this.current.revision),
-        era: this.current && eraOf(this.current.revision),
+        ...revisionFields(this.states.newest),
         unconfirmedMs: this.unconfirmedMs(now),
       },
       'the store lost the changes of the configuration; reading it again',
@@ -265,7 +241,7 @@
     'followed' | 'ask-store' | 'watch-store'
   > {
     const {watcher, clock} = this.deps;
-    const isFollower = this.current !== undefined && this.mayFollow();
+    const isFollower = this.states.newest !== undefined && this.mayFollow();
     const name = isFollower ? watcher.next() : undefined;
     if (name === undefined) return 'watch-store';
     const decision = decideFollow(
@@ -306,7 +282,7 @@
     maxLength?: number,
   ): Promise<'answered' | 'too-long' | 'no-answer'> {
     const {peers, source, clock} = this.deps;
-    const newerThan = this.current?.revision ?? 0;
+    const newerThan = this.states.newest?.revision ?? 0;
     const sentAt = clock();
     const answer = await peers.configuration(
       peer,
@@ -314,10 +290,12 @@
       waitMs + PEER_TIMEOUT_MS,
     );
     if (!answer.ok || !answer.value) return 'no-answer';
-    const {encoded, revision, confirmedAgoMs, heldMs} = answer.value;
+    const {encoded, earlier, revision, confirmedAgoMs, heldMs} = answer.value;
     if (encoded !== undefined) {
       const state = source.decode(encoded);
       if (!state) return 'no-answer';
+      const before = earlier === undefined ? undefined : source.decode(earlier);
+      if (before) this.tell({kind: 'received', state: before, from: 'peer'});
       this.tell({kind: 'received', state, from: 'peer'});
     } else if (revision > newerThan) {
       return 'too-long';
@@ -329,27 +307,19 @@
 
   /** Answers a peer once there is a newer state or a newer confirmation. */
   private relay(
-    {newerThan, waitMs, maxLength = Infinity}: ConfigurationRequest,
+    request: ConfigurationRequest,
     reply: Reply<RelayedConfiguration | undefined>,
     receivedAt: number,
   ): void {
+    const {newerThan, waitMs} = request;
     const answer = (): void => {
+      const {states, confirmedAt} = this;
       const now = this.deps.clock();
-      const {current, confirmedAt} = this;
-      if (!current || confirmedAt === undefined) {
-        reply.answer(undefined);
-        return;
-      }
-      const {revision, encoded} = current;
-      const isSent = revision > newerThan && encoded.length <= maxLength;
-      reply.answer({
-        revision,
-        encoded: isSent ? encoded : undefined,
-        confirmedAgoMs: now - confirmedAt,
-        heldMs: now - receivedAt,
-      });
+      reply.answer(
+        relayConfiguration(states, request, {confirmedAt, receivedAt, now}),
+      );
     };
-    const isNewer = (this.current?.revision ?? 0) > newerThan;
+    const isNewer = (this.states.newest?.revision ?? 0) > newerThan;
     const isHeld = !isNewer && waitMs > 0 && this.phase === 'running';
     if (isHeld) this.waitingPeers.add(answer, waitMs);
     else answer();
@@ -369,23 +339,55 @@
   }
 
   private applyIfNewer(state: OperatorState, from: 'store' | 'peer'): void {
-    const before = this.current;
-    if (before && state.revision <= before.revision) return;
-    this.current = state;
+    const now = this.deps.clock();
+    const before = this.states.applied;
+    if (this.states.receive(state, now) === 'known') return;
+    this.apply(before, from, now);
+  }
+
+  /** Puts the whole newest state in force once the wait for it is over. */
+  private decideAgain(now: number): void {
+    const before = this.states.applied;
+    this.states.decide(now);
+    this.apply(before, 'wait', now);
+  }
+
+  private apply(
+    before: OperatorState | undefined,
+    from: 'store' | 'peer' | 'wait',
+    now: number,
+  ): void {
+    const {newest, applied, decideAgainAt} = this.states;
+    clearTimeout(this.decisionTimer);
+    if (decideAgainAt !== undefined) {
+      this.decisionTimer = setTimeout(
+        () => this.tell({kind: 'decide'}),
+        Math.ceil(decideAgainAt - now),
+      );
+    }
+    if (!newest || !applied) return;
+    const {configuration, dataCentresOut} = applied;
     this.deps.log.info(
       {
         event: 'configuration.applied',
         from,
-        revision: counterOf(state.revision),
-        era: eraOf(state.revision),
-        version: state.configuration?.version,
+        ...revisionFields(newest),
+        version: configuration?.version,
         previousVersion: before?.configuration?.version,
-        unconfirmedMs: this.unconfirmedMs(this.deps.clock()),
-        routes: state.configuration?.routes.size,
-        out: [...state.dataCentresOut],
+        // Lower than `version` if the store went back to an earlier copy.
+        storedVersion: newest.configuration?.version,
+        unconfirmedMs: this.unconfirmedMs(now),
+        routes: configuration?.routes.size,
+        out: [...dataCentresOut],
       },
       "applied the operators' state",
     );
-    this.deps.onApplied(state);
+    this.deps.onApplied(applied);
   }
 }
+
+function revisionFields(state: OperatorState | undefined): object {
+  if (!state) return {};
+  const {revision} = state;
+  return {revision: counterOf(revision), era: eraOf(revision)};
+}
--- a/packages/gateway/src/peers/gateway_handlers.ts
+++ b/packages/gateway/src/peers/gateway_handlers.ts
@@ -13,6 +13,11 @@
   readonly revision: number;
   /** The state as in the store, if it is newer and not longer than asked for. */
   readonly encoded?: string | undefined;
+  /**
+   * The state before the store went back to an earlier copy, if the operators
+   * may not have written all of it again.
+   */
+  readonly earlier?: string | undefined;
   /** How long ago the store confirmed that the state is the newest. */
   readonly confirmedAgoMs: number;
   /** How long the answer was held. */
