Separate the state of the shared rows from the task that receives them

FleetState holds the copy of the rows, the proof of its age, the bounds of the store's clock and the view; FleetTask keeps the calls.

--- a/packages/gateway/src/fleet/__tests__/share_allocator.test.ts
+++ b/packages/gateway/src/fleet/__tests__/share_allocator.test.ts
@@ -63,6 +63,7 @@
     proof: {asOfStoreMs: clock() + 1_000_000},
     storeClock: {minOffset: 1_000_000, maxOffset: 1_000_000},
     joined: 'joined',
+    era: undefined,
   });
   const peers = new FakePeers(VMS);
   const task = new ShareAllocator({
--- a/packages/gateway/src/fleet/fleet_task.ts
+++ b/packages/gateway/src/fleet/fleet_task.ts
@@ -1,17 +1,6 @@
-import {
-  UNKNOWN_STORE_CLOCK,
-  counterOf,
-  decideFollow,
-  eraOf,
-  latestStoreTime,
-  narrowStoreClock,
-  widenStoreClock,
-} from '@pistachiorill/core';
-import type {StoreClock, StoreProof} from '@pistachiorill/core';
-import {TableCopy} from '@pistachiorill/store';
+import {counterOf, decideFollow, eraOf} from '@pistachiorill/core';
 import type {
   RowTransaction,
-  StoreTiming,
   StoreWriteError,
   TableReadResult,
   TransactionResult,
@@ -27,9 +16,10 @@
 import type {FleetMessage, ReadScope} from './fleet_message.js';
 import {RowDecoder, isVmRow, vmKey} from './fleet_rows.js';
 import type {VmRegistration} from './fleet_rows.js';
+import {FleetState} from './fleet_state.js';
 import type {FleetView} from './fleet_view.js';
-import {joinedState, registrationOf} from './registration.js';
-import {applyRelayedRows, narrowByRelay, relayRows} from './relayed_rows.js';
+import {registrationOf} from './registration.js';
+import {relayRows} from './relayed_rows.js';
 import type {RelayRequest, RelayedRows} from './relayed_rows.js';
 import {StoreReader} from './store_reader.js';
 
@@ -73,23 +63,19 @@
 
 /** Owns the copy of the rows that all VMs share, and the proof of its age. */
 export class FleetTask extends Task<FleetMessage> {
-  private readonly copy = new TableCopy();
-  private proof: StoreProof | undefined;
-  private storeClock: StoreClock = UNKNOWN_STORE_CLOCK;
+  private readonly state: FleetState;
   private phase: 'running' | 'leaving' = 'running';
   private registration: 'idle' | 'under-way' = 'idle';
   private readonly reader: StoreReader;
-  private readonly decoder: RowDecoder;
   private readonly waitingPeers = new WaitingReplies();
-  private view: FleetView;
 
   constructor(private readonly deps: FleetDependencies) {
     super();
     this.reader = new StoreReader(deps);
-    this.decoder = new RowDecoder(key =>
+    const decoder = new RowDecoder(key =>
       deps.log.warn({event: 'fleet.unreadable', key}, 'row ignored'),
     );
-    this.view = this.currentView();
+    this.state = new FleetState(deps, decoder);
   }
 
   protected override handle(message: FleetMessage): void {
@@ -115,8 +101,8 @@
         this.relay(message.request, message.reply);
         return;
       case 'clock-skipped':
-        this.storeClock = widenStoreClock(this.storeClock, message.skippedMs);
-        this.publish();
+        this.state.skipClock(message.skippedMs);
+        this.publish('changed');
         return;
       case 'leave':
         this.phase = 'leaving';
@@ -134,13 +120,14 @@
 
   /** Receives the changes of the rows until this VM leaves the fleet. */
   private async watchLoop(): Promise<void> {
+    const {copy} = this.state;
     let next: ReadScope = 'all';
     let history: 'kept' | 'lost' = 'kept';
     while (this.phase === 'running') {
       if ((await this.followWatcher()) === 'followed') continue;
       const isWatcher = this.deps.watcher.next() === undefined;
       const holdMs = isWatcher ? WATCH_TIMEOUT_MS : 0;
-      const result = await this.reader.read(next, this.copy, holdMs);
+      const result = await this.reader.read(next, copy, holdMs);
       if (result.ok) {
         if (next === 'changes') history = 'kept';
         this.reader.answered(history);
@@ -155,8 +142,8 @@
         this.deps.log.info(
           {
             event: 'store.history-lost',
-            version: counterOf(this.copy.version),
-            era: eraOf(this.copy.version),
+            version: counterOf(copy.version),
+            era: eraOf(copy.version),
           },
           'the store lost the changes since this version; reading all rows',
         );
@@ -174,67 +161,29 @@
   /** A VM that has not joined does not pause: it waits for its own row. */
   private mayPause({rows, removed}: TableReadResult): boolean {
     const hasOnlyPuts = rows.length > 0 && removed.length === 0;
-    return this.view.joined === 'joined' && hasOnlyPuts && rows.every(isVmRow);
+    const {joined} = this.state.view;
+    return joined === 'joined' && hasOnlyPuts && rows.every(isVmRow);
   }
 
   private applyWatchedRows(scope: ReadScope, answer: TableReadResult): void {
-    this.updateStoreClock(answer);
     const hasChanges =
       scope === 'all' || answer.rows.length > 0 || answer.removed.length > 0;
-    const applied =
-      scope === 'all' ? this.copy.replace(answer) : this.copy.update(answer);
-    // A peer's copy arrived first and is newer.
-    if (applied === 'stale') return;
-    this.advanceProof(answer.storeMs);
-    if (hasChanges || this.view.proof === undefined) this.publish();
-    else this.publishProof();
+    const hadProof = this.state.view.proof !== undefined;
+    if (this.state.apply(scope, answer) === 'stale') return;
+    this.publish(hasChanges || !hadProof ? 'changed' : 'same');
     this.join();
   }
 
-  private updateStoreClock({storeMs, sentAt, receivedAt}: StoreTiming): void {
-    this.storeClock = narrowStoreClock(
-      this.storeClock,
-      storeMs,
-      sentAt,
-      receivedAt,
-    );
-  }
-
-  private advanceProof(asOfStoreMs: number): void {
-    if (this.proof && this.proof.asOfStoreMs >= asOfStoreMs) return;
-    this.proof = {asOfStoreMs};
-  }
-
-  private currentView(): FleetView {
-    const rows = this.decoder.decode(this.copy.values());
-    return {
-      rows,
-      version: this.copy.version,
-      proof: this.proof,
-      storeClock: this.storeClock,
-      joined: joinedState(this.deps, rows, this.copy.version),
-    };
-  }
-
-  private publish(): void {
-    this.view = this.currentView();
-    this.deps.onView(this.view);
-    this.waitingPeers.release();
-  }
-
-  /** Publishes a newer proof without decoding the rows, which are unchanged. */
-  private publishProof(): void {
-    const {proof, storeClock} = this;
-    const {version} = this.copy;
-    const joined = joinedState(this.deps, this.view.rows, version);
-    this.view = {...this.view, version, proof, storeClock, joined};
-    this.deps.onView(this.view);
+  /** Publishes the view; its rows are only decoded if they changed. */
+  private publish(rows: 'changed' | 'same'): void {
+    const {state} = this;
+    this.deps.onView(rows === 'changed' ? state.decode() : state.refresh());
     this.waitingPeers.release();
   }
 
   /** Registers this process; a primary change then asks it to stop first. */
   private join(): void {
-    const transaction = registrationOf(this.deps, this.view.rows);
+    const transaction = registrationOf(this.deps, this.state.view.rows);
     if (!transaction) return;
     if (this.registration === 'under-way' || this.phase === 'leaving') return;
     this.registration = 'under-way';
@@ -250,7 +199,7 @@
 
   private async leave(): Promise<void> {
     const key = vmKey(this.deps.vm);
-    const version = this.copy.get(key)?.version;
+    const version = this.state.copy.get(key)?.version;
     if (version === undefined) return;
     // Conditional, so that a late removal keeps the row of a newer process.
     await this.transact({
@@ -280,12 +229,13 @@
     {puts, removals = []}: RowTransaction,
     answer: TransactionResult,
   ): void {
-    this.updateStoreClock(answer);
+    const {copy} = this.state;
+    this.state.updateStoreClock(answer);
     for (const [key, value] of puts) {
-      this.copy.put({key, value, version: answer.version});
+      copy.put({key, value, version: answer.version});
     }
-    for (const key of removals) this.copy.remove(key);
-    this.publish();
+    for (const key of removals) copy.remove(key);
+    this.publish('changed');
   }
 
   /**
@@ -298,7 +248,7 @@
     reply: Reply<RelayedRows | undefined>,
   ): void {
     const answer = (): void => {
-      const {copy, proof, storeClock, view} = this;
+      const {copy, proof, storeClock, view} = this.state;
       const isUsable = proof !== undefined && view.joined === 'joined';
       reply.answer(
         isUsable
@@ -306,8 +256,7 @@
           : undefined,
       );
     };
-    const isNewer =
-      this.proof !== undefined && this.proof.asOfStoreMs > provenTo;
+    const isNewer = (this.state.proof?.asOfStoreMs ?? -Infinity) > provenTo;
     const isHeld = !isNewer && waitMs > 0 && this.phase === 'running';
     if (isHeld) this.waitingPeers.add(answer, waitMs);
     else answer();
@@ -324,7 +273,7 @@
     const now = clock();
     const decision = decideFollow(
       {
-        confirmedAt: now - this.proofAgeMs(now),
+        confirmedAt: now - this.state.proofAgeMs(now),
         maxAgeMs: MAX_FOLLOWED_PROOF_AGE_MS,
         askedStoreAt: this.reader.askedAt,
         storeFailures: this.reader.failures,
@@ -332,26 +281,21 @@
       now,
     );
     if (decision.kind === 'ask-store') return 'ask-store';
-    const {proof} = this;
+    const {proof} = this.state;
     const outcome = await this.askPeer(name, decision.waitMs);
     await settled();
     // An answer without a newer proof, such as one from an older state of the
     // store, must not be followed by the next request at once.
-    if (this.proof !== proof) return 'followed';
+    if (this.state.proof !== proof) return 'followed';
     if (outcome === 'no-answer') watcher.failed(name);
     await sleep(WATCHER_RETRY_MS);
     return 'followed';
   }
 
-  private proofAgeMs(now: number): number {
-    if (!this.proof) return Infinity;
-    return latestStoreTime(this.storeClock, now) - this.proof.asOfStoreMs;
-  }
-
   /** Asks peers for their copies while the store does not answer. */
   private async askPeers(): Promise<void> {
     const {clock, peers} = this.deps;
-    if (this.proofAgeMs(clock()) < RELAY_PROOF_AGE_MS) return;
+    if (this.state.proofAgeMs(clock()) < RELAY_PROOF_AGE_MS) return;
     const names = peers.sample(RELAY_PEER_COUNT, undefined);
     await Promise.all(names.map(peer => this.askPeer(peer, 0)));
   }
@@ -363,8 +307,8 @@
   ): Promise<'answered' | 'no-answer'> {
     const {clock, peers} = this.deps;
     const sentAt = clock();
-    const after = this.copy.version;
-    const provenTo = this.proof?.asOfStoreMs ?? -1;
+    const after = this.state.copy.version;
+    const provenTo = this.state.proof?.asOfStoreMs ?? -1;
     const request = {after, provenTo, waitMs};
     const timeoutMs = waitMs + RELAY_TIMEOUT_MS;
     const answer = await peers.relay(peer, request, timeoutMs);
@@ -381,18 +325,9 @@
     receivedAt,
   }: Extract<FleetMessage, {kind: 'relayed'}>): void {
     const {rows, removed, after} = relayed;
-    this.storeClock = narrowByRelay(
-      this.storeClock,
-      relayed,
-      sentAt,
-      receivedAt,
-    );
-    if (applyRelayedRows(this.copy, relayed) === 'applied') {
-      this.advanceProof(relayed.asOfStoreMs);
-    }
+    this.state.applyRelayed(relayed, sentAt, receivedAt);
     const hasChanges = after === 0 || rows.length > 0 || removed.length > 0;
-    if (hasChanges) this.publish();
-    else this.publishProof();
+    this.publish(hasChanges ? 'changed' : 'same');
     this.join();
   }
 }
--- a/packages/gateway/src/fleet/fleet_view.ts
+++ b/packages/gateway/src/fleet/fleet_view.ts
@@ -13,6 +13,17 @@
 } from '@pistachiorill/core';
 import type {FleetRows} from './fleet_rows.js';
 
+/** The store's era, as this process has seen it. */
+export interface EraView {
+  readonly number: number;
+  /** When this process first read rows of the era, by its clock. */
+  readonly seenAt: number;
+  /** Whether this process has read rows of an earlier era before. */
+  readonly start: 'observed' | 'not-observed';
+  /** The last proof of the era before. */
+  readonly earlierProof: StoreProof | undefined;
+}
+
 /** One VM's copy of the shared rows, and how recent it is. */
 export interface FleetView {
   readonly rows: FleetRows;
@@ -24,6 +35,8 @@
   readonly storeClock: StoreClock;
   /** Whether the rows include this process's registration, not revoked. */
   readonly joined: 'joined' | 'not-joined';
+  /** Undefined before the first rows are read. */
+  readonly era: EraView | undefined;
 }
 
 /** The view of a VM that has not read any rows yet. */
@@ -38,6 +51,7 @@
   proof: undefined,
   storeClock: UNKNOWN_STORE_CLOCK,
   joined: 'not-joined',
+  era: undefined,
 };
 
 /**
--- a/packages/gateway/src/leadership/__tests__/leadership_task.test.ts
+++ b/packages/gateway/src/leadership/__tests__/leadership_task.test.ts
@@ -60,6 +60,7 @@
       maxOffset: 1_000_000,
     },
     joined: 'joined',
+    era: undefined,
   });
   const task = new LeadershipTask({
     vm: 'vm-a',
--- a/packages/gateway/src/leadership/__tests__/primary_change.test.ts
+++ b/packages/gateway/src/leadership/__tests__/primary_change.test.ts
@@ -103,6 +103,7 @@
       maxOffset: 1_000_000,
     },
     joined: 'joined',
+    era: undefined,
   });
   const change = new PrimaryChange(
     {group: 'wash', from: 'a', reason},
