Count stalls of the soak as a slow store for withdrawn keys

The store of the stand-ins runs in the process of the soak and does not answer while that process does not run. A stall of 250 ms, the delay of a slow store, now counts as such a fault. The pause before the recovery is counted in time in which the soak ran.

--- a/soak/src/run_soak.ts
+++ b/soak/src/run_soak.ts
@@ -71,6 +71,8 @@
 const READY_TIMEOUT_MS = 20_000;
 /** The part of a run whose operations show whether the VMs recovered. */
 const RECOVERY_MS = 1_500;
+/** The store of the stand-ins stalls with this process, and is then slow. */
+const SLOW_STORE_MS = 250;
 /** Separates the random numbers of the callers that hold sessions. */
 const HOLDERS_SEED = 3_000_017;
 /** Users require that a quarter of the requests is served after a fault. */
@@ -105,7 +107,7 @@
     await sleep(Math.max(0, startedAt + lengthMs - clock()));
     await injector.waitForAll();
     // Then all VMs are undisturbed, and the checks that need this apply.
-    await sleep(CONTACT_MS);
+    await stallMonitor.sleepRunning(CONTACT_MS);
     recovery.fromMs = clock();
     await stallMonitor.sleepRunning(RECOVERY_MS);
     for (const {caller} of callers) caller.stop();
@@ -138,7 +140,8 @@
     ),
     withdrawnAt: withdrawalTimes(standins),
     isUndisturbed: (address, fromMs, toMs) =>
-      record.isUndisturbed(vmAt(address), fromMs, toMs),
+      record.isUndisturbed(vmAt(address), fromMs, toMs) &&
+      !stallMonitor.hasStall(fromMs, toMs, SLOW_STORE_MS),
     recovery,
   });
   const violations = [
--- a/soak/src/stall_monitor.ts
+++ b/soak/src/stall_monitor.ts
@@ -32,6 +32,16 @@
     return Math.round(sum);
   }
 
+  /** Whether a stall of at least the given length fell into the interval. */
+  hasStall(fromMs: number, toMs: number, minMs: number): boolean {
+    return this.found.some(
+      stall =>
+        stall.toMs >= fromMs &&
+        stall.fromMs <= toMs &&
+        stall.toMs - stall.fromMs >= minMs,
+    );
+  }
+
   /** Waits until this process has run for the given time, without stalls. */
   async sleepRunning(forMs: number): Promise<void> {
     const startMs = this.clock();
