Answer a statement once after an unexpected error

Callers would see: two answers to a rollback that fails unexpectedly after its reply, the second of which a pipelining caller takes for that of its next request; or none to a statement of a transaction whose rollback meets the same error.

Cause: rolled back before it answered, and did not know whether the statement had its answer already. Found by the review; no such error is known.

Change: the session answers first, then closes the transaction's connection; after an error behind the answer it closes its link. Values and prepared statements move to a class of their own.

--- a/packages/gateway/src/session/__tests__/session_task.test.ts
+++ b/packages/gateway/src/session/__tests__/session_task.test.ts
@@ -353,6 +353,28 @@
     expect(caller.seen).toMatchSnapshot();
   });
 
+  // Guards against no answer, or two, after an error in an open transaction.
+  it.each<[string, CallerStatement]>([
+    ['write', WRITE],
+    ['commit', COMMIT],
+    ['rollback', ROLLBACK],
+  ])('answers a %s that fails unexpectedly once', async (unused, statement) => {
+    const {fake, caller, open, run} = start();
+    open();
+    await run(BEGIN, WRITE);
+    const tell = fake.task.tell.bind(fake.task);
+    fake.task.tell = message => {
+      if (['confirm', 'return'].includes(message.kind)) {
+        throw new Error('unexpected');
+      }
+      tell(message);
+    };
+    const before = caller.seen.length;
+    await run(statement);
+    Reflect.deleteProperty(fake.task, 'tell');
+    expect(caller.seen.slice(before)).toMatchSnapshot();
+  });
+
   // Guards against a transaction that stays open after its caller disconnected.
   it('rolls back if the caller disconnects', async () => {
     const {fake, session, open, run} = start();
--- a/packages/gateway/src/session/open_transaction.ts
+++ b/packages/gateway/src/session/open_transaction.ts
@@ -79,7 +79,7 @@
   }
 
   /** Closes the connection, upon which the member rolls back. */
-  private abandon(): void {
+  abandon(): void {
     this.checkout.connection.tell({kind: 'close'});
     this.end();
   }
--- a/packages/gateway/src/session/session_task.ts
+++ b/packages/gateway/src/session/session_task.ts
@@ -18,6 +18,7 @@
 import {OpenTransaction} from './open_transaction.js';
 import {resolveCaller} from './route_filter.js';
 import type {SessionMessage, SessionDependencies} from './session_message.js';
+import {SessionSettings} from './session_settings.js';
 import {
   recordAfterClose,
   recordSessionRefusal,
@@ -34,11 +35,12 @@
   private key = '';
   /** `draining` closes once no transaction is open, `closing` does not wait. */
   private phase: 'new' | 'open' | 'draining' | 'closing' | 'closed' = 'new';
-  private readonly values = new Map<string, string>();
-  private readonly prepared = new Map<string, PreparedStatement>();
+  private readonly settings = new SessionSettings();
   private transaction: SessionTransaction = {kind: 'none'};
   /** The log position of the session's last commit. */
   private seen: LogPosition | undefined;
+  /** Whether the statement that is handled has got its answer. */
+  private isAnswered = false;
   private readonly idleTimer = new IdleTimer(() =>
     this.tell({kind: 'transaction-idle'}),
   );
@@ -131,17 +133,24 @@
     this.link.accept();
   }
 
-  /** Runs a statement; the caller gets an answer to an unexpected error too. */
+  /** Runs a statement; an unexpected error is answered, once, as well. */
   private async answerStatement(
     {id, statement}: Extract<CallerEvent, {kind: 'statement'}>,
     receivedAt: number,
   ): Promise<void> {
+    this.isAnswered = false;
     try {
       await this.statement(id, statement, receivedAt);
     } catch (err) {
+      // The caller would take a second answer for that of its next request.
+      if (this.isAnswered) throw err;
       this.deps.log.error({event: 'session.failed', err}, 'session failed');
-      await this.failTransaction();
+      const {transaction} = this;
+      const isEnded =
+        transaction.kind === 'none' || statement.kind === 'commit';
+      this.transaction = {kind: isEnded ? 'none' : 'failed'};
       this.refuse(id, {kind: 'unknown-outcome', detail: 'internal error'});
+      if (transaction.kind === 'open') transaction.transaction.abandon();
     }
   }
 
@@ -156,15 +165,9 @@
     }
     switch (statement.kind) {
       case 'set':
-        this.values.set(statement.name, statement.value);
-        this.reply(LOCAL_REPLY);
-        return;
       case 'prepare':
-        this.prepared.set(statement.name, statement.statement);
-        this.reply(LOCAL_REPLY);
-        return;
       case 'deallocate':
-        this.deallocate(id, statement.name);
+        this.answer(id, this.settings.apply(statement));
         return;
       case 'begin':
         this.begin(id, statement.access);
@@ -194,16 +197,7 @@
   ): void {
     const {reply, transaction} = replyAfterFailure(statement);
     if (transaction === 'ended') this.transaction = {kind: 'none'};
-    if (reply.kind === 'refused') this.refuse(id, reply.refusal);
-    else this.reply(reply);
-  }
-
-  private deallocate(id: string, name: string): void {
-    if (!this.prepared.delete(name)) {
-      this.refuse(id, {kind: 'unknown-statement', detail: name});
-      return;
-    }
-    this.reply(LOCAL_REPLY);
+    this.answer(id, reply);
   }
 
   private begin(id: string, access: StatementAccess): void {
@@ -221,7 +215,7 @@
     this.transaction = {kind: 'none'};
     this.reply(LOCAL_REPLY);
     if (transaction.kind !== 'open') return;
-    await transaction.transaction.rollback(this.values);
+    await transaction.transaction.rollback(this.settings.values);
   }
 
   private async execute(
@@ -229,7 +223,7 @@
     {name, parameters}: Extract<CallerStatement, {kind: 'execute'}>,
     receivedAt: number,
   ): Promise<void> {
-    const prepared = this.prepared.get(name);
+    const prepared = this.settings.prepared(name);
     if (!prepared) {
       this.refuse(id, {kind: 'unknown-statement', detail: name});
       return;
@@ -257,7 +251,7 @@
             command,
             access,
             prepared,
-            values: this.values,
+            values: this.settings.values,
             deadline: receivedAt + transaction.transaction.statementTimeoutMs,
           })
         : await this.runFirst(id, command, access, prepared, receivedAt);
@@ -296,7 +290,7 @@
       access,
       prepared,
       begin,
-      values: new Map(this.values),
+      values: new Map(this.settings.values),
       seen: this.seen,
       configuration: this.deps.configuration(),
     });
@@ -333,7 +327,13 @@
     return ok(answer);
   }
 
+  private answer(id: string, reply: SessionReply): void {
+    if (reply.kind === 'refused') this.refuse(id, reply.refusal);
+    else this.reply(reply);
+  }
+
   private reply(reply: SessionReply, position?: LogPosition): void {
+    this.isAnswered = true;
     this.link.reply(reply, reportedState(this.transaction), position);
   }
 
@@ -359,7 +359,7 @@
     if (transaction.kind === 'none' || transaction.kind === 'failed') return;
     this.transaction = {kind: 'failed'};
     if (transaction.kind !== 'open') return;
-    await transaction.transaction.rollback(this.values);
+    await transaction.transaction.rollback(this.settings.values);
   }
 
   /** Limits the idle time, as a transaction holds a scarce connection. */
@@ -386,7 +386,7 @@
     this.link.close();
     this.end();
     if (transaction.kind !== 'open') return;
-    await transaction.transaction.rollback(this.values);
+    await transaction.transaction.rollback(this.settings.values);
   }
 
   /** Marks the session as closed and notifies its owner. */
