End a session without access whose transaction failed

Callers saw: a session whose key was withdrawn in a transaction stayed open, after it had failed the transaction, until the next configuration.

Cause: the drain was started only if no transaction was open, and a failed one counts as open. Found by the review.

Change: such a session drains; it closes once the caller has ended the transaction.

Measured: tests of session/ pass.

--- a/packages/gateway/src/session/session_task.ts
+++ b/packages/gateway/src/session/session_task.ts
@@ -342,16 +342,14 @@
     this.reply({kind: 'refused', refusal});
   }
 
-  /** Fails the transaction, or ends the session, if access was withdrawn. */
+  /** Fails the transaction and ends the session if access was withdrawn. */
   private async handleReconfiguration(): Promise<void> {
     if (this.phase === 'new') return;
     const configuration = this.deps.configuration();
     const found = resolveCaller(configuration, this.database, this.key);
     if (found.ok) return;
     await this.failTransaction();
-    if (this.transaction.kind === 'none' && this.phase === 'open') {
-      this.phase = 'draining';
-    }
+    if (this.phase === 'open') this.phase = 'draining';
   }
 
   private async failTransaction(): Promise<void> {
