Keep the fencing number and the lease safe across eras of the store

What callers would see: after the store went back to a copy, the holder in the copy renews a lease that another VM has acquired in the lost seconds, with a fencing number that is lower than one that the platform has seen. Two coordinators may also act within the duration of one lease.

Cause: the lease row was judged by holder and time alone, although the copy may lack the last holders, and the row itself.

Evidence: take_duty.test.ts "waits and skips numbers" with the decision before this commit: the holder of the copy and another VM took the lease at once with the numbers 7 and 8, and 1 without a row; now all wait and get 2000007 and 2000001 in the second era.

Why it works: the row tells the era in which the lease was acquired. In a later era nobody holds or renews it. The first lease of an era is acquired PRIMARY_LEASE_MS after the era was first seen, which is longer than a lost holder's lease and than the primary leases of VMs that the copy lacks, so it also holds back the announcement of primary changes. Its number is higher by FENCE_ERA_STEP for each era. A change that runs when the era changes is given up before it orders a promotion. Rows without an era count as of era 0.

--- a/packages/core/src/leadership/__tests__/take_duty.test.ts
+++ b/packages/core/src/leadership/__tests__/take_duty.test.ts
@@ -1,4 +1,5 @@
 import {describe, expect, it} from 'vitest';
+import {PRIMARY_LEASE_MS} from '../primary_lease.js';
 import {
   COORDINATOR_LEASE_MS,
   decideCoordinatorLease,
@@ -6,23 +7,30 @@
 } from '../take_duty.js';
 
 const HELD = {holder: 'vm-a', fence: 7, takenAt: 1_000};
+const FIRST_ERA = {
+  number: 0,
+  seenForMs: 0,
+  start: 'not-observed' as const,
+};
 
 describe('coordinator lease', () => {
   // Guards against two holders at the same time, and against a fencing number
   // that two holders use.
   it('is granted by holder and time', () => {
     expect({
-      nobody: decideCoordinatorLease('vm-a', undefined, 0),
-      own: decideCoordinatorLease('vm-a', HELD, 500_000),
+      nobody: decideCoordinatorLease('vm-a', undefined, 0, FIRST_ERA),
+      own: decideCoordinatorLease('vm-a', HELD, 500_000, FIRST_ERA),
       fresh: decideCoordinatorLease(
         'vm-b',
         HELD,
         1_000 + COORDINATOR_LEASE_MS - 1,
+        FIRST_ERA,
       ),
       lapsed: decideCoordinatorLease(
         'vm-b',
         HELD,
         1_000 + COORDINATOR_LEASE_MS,
+        FIRST_ERA,
       ),
     }).toMatchSnapshot();
   });
@@ -33,9 +41,36 @@
   it('is allowed only if it ends before the lease expires', () => {
     const end = 1_000 + COORDINATOR_LEASE_MS;
     expect([
-      holdsCoordinatorLease('vm-a', HELD, end - 1_001, 1_000),
-      holdsCoordinatorLease('vm-a', HELD, end - 1_000, 1_000),
-      holdsCoordinatorLease('vm-b', HELD, 1_000, 1_000),
+      holdsCoordinatorLease('vm-a', HELD, end - 1_001, 1_000, 0),
+      holdsCoordinatorLease('vm-a', HELD, end - 1_000, 1_000, 0),
+      holdsCoordinatorLease('vm-b', HELD, 1_000, 1_000, 0),
     ]).toEqual([true, false, false]);
   });
 });
+
+describe('coordinator lease after the store went back to a copy', () => {
+  const lapsed = 1_000 + COORDINATOR_LEASE_MS;
+
+  // Guards against a fencing number that a lost holder has used already, and
+  // against two coordinators, of which the copy lacks one.
+  it.each([
+    ['the holder of the copy', 'vm-a', HELD, 'observed'],
+    ['another VM', 'vm-b', HELD, 'observed'],
+    ['a process that has just started', 'vm-b', HELD, 'not-observed'],
+    ['no row in the copy', 'vm-b', undefined, 'observed'],
+    ['no row at the first start', 'vm-b', undefined, 'not-observed'],
+    ['a row of the era', 'vm-b', {...HELD, era: 2}, 'observed'],
+  ] as const)('waits and skips numbers: %s', (unusedName, vm, lease, start) => {
+    const decisions = [0, PRIMARY_LEASE_MS - 1, PRIMARY_LEASE_MS].map(
+      seenForMs =>
+        decideCoordinatorLease(vm, lease, lapsed, {
+          number: 2,
+          seenForMs,
+          start,
+        }),
+    );
+    const isHeld =
+      lease && holdsCoordinatorLease('vm-a', lease, 1_000, 1_000, 2);
+    expect({decisions, isHeld}).toMatchSnapshot();
+  });
+});
--- a/packages/core/src/leadership/leadership_record.ts
+++ b/packages/core/src/leadership/leadership_record.ts
@@ -39,4 +39,9 @@
   readonly fence: number;
   /** Store time at which the holder last acquired or renewed the lease. */
   readonly takenAt: number;
+  /**
+   * The era of the store in which the holder acquired the lease; 0 if left out.
+   * A row of an earlier era comes from the copy to which the store went back.
+   */
+  readonly era?: number | undefined;
 }
--- a/packages/core/src/leadership/take_duty.ts
+++ b/packages/core/src/leadership/take_duty.ts
@@ -1,4 +1,5 @@
 import type {CoordinatorLease} from './leadership_record.js';
+import {PRIMARY_LEASE_MS} from './primary_lease.js';
 
 /**
  * Duration of the coordinator lease unless the holder renews it. It exceeds the
@@ -7,29 +8,72 @@
  */
 export const COORDINATOR_LEASE_MS = 5_000;
 
+/**
+ * Added to the fencing number for each era of the store. The row of the copy may
+ * lack the numbers of the last seconds before the store went back. A number is
+ * taken at most once in the duration of a lease unless its holder stops, so this
+ * exceeds what can be taken in any time for which the store loses its history.
+ */
+export const FENCE_ERA_STEP = 1_000_000;
+
+/** The store's era, and how long the VM has seen it. */
+export interface LeaseEra {
+  readonly number: number;
+  readonly seenForMs: number;
+  /** Whether the VM has read rows of an earlier era before. */
+  readonly start: 'observed' | 'not-observed';
+}
+
 /** Whether a VM may acquire the coordinator lease, and with which number. */
 export type CoordinatorLeaseDecision =
   /** The VM may acquire or renew the lease. */
   | {readonly kind: 'take'; readonly fence: number}
   /** Another VM holds the lease. */
-  | {readonly kind: 'leave'; readonly holder: string};
+  | {readonly kind: 'leave'; readonly holder: string}
+  /** The store went back to a copy that may lack the last holder. */
+  | {readonly kind: 'wait'};
 
 /**
  * Decides whether a VM may acquire or renew the coordinator lease. Another VM's
  * lease has expired once its duration has passed at the earliest time that the
  * store's clock can show.
+ *
+ * The first lease of an era waits for the duration of a primary lease. It is
+ * longer than a lease of a holder that the copy lacks, and by then no VM that
+ * the copy lacks uses a primary either, so that the change of a primary need
+ * not ask it.
  */
 export function decideCoordinatorLease(
   vm: string,
   current: CoordinatorLease | undefined,
   earliestStoreMs: number,
+  era: LeaseEra,
 ): CoordinatorLeaseDecision {
-  if (!current) return {kind: 'take', fence: 1};
-  if (current.holder === vm) return {kind: 'take', fence: current.fence};
-  if (earliestStoreMs >= current.takenAt + COORDINATOR_LEASE_MS) {
-    return {kind: 'take', fence: current.fence + 1};
+  if (current && isOfEra(current, era.number)) {
+    if (current.holder === vm) return {kind: 'take', fence: current.fence};
+    if (earliestStoreMs >= current.takenAt + COORDINATOR_LEASE_MS) {
+      return {kind: 'take', fence: current.fence + 1};
+    }
+    return {kind: 'leave', holder: current.holder};
   }
-  return {kind: 'leave', holder: current.holder};
+  const mayBeLacking = current !== undefined || era.start === 'observed';
+  if (mayBeLacking && era.seenForMs < PRIMARY_LEASE_MS) return {kind: 'wait'};
+  // A program version that does not record the era may hold the lease.
+  if (current && earliestStoreMs < current.takenAt + COORDINATOR_LEASE_MS) {
+    return {kind: 'wait'};
+  }
+  return {kind: 'take', fence: firstFence(current, era.number)};
+}
+
+/** The first number of an era exceeds all of earlier ones. */
+function firstFence(copied: CoordinatorLease | undefined, era: number): number {
+  if (!copied) return era * FENCE_ERA_STEP + 1;
+  return copied.fence + (era - (copied.era ?? 0)) * FENCE_ERA_STEP;
+}
+
+/** Whether a lease was acquired in the present era of the store. */
+export function isOfEra({era = 0}: CoordinatorLease, present: number): boolean {
+  return era === present;
 }
 
 /**
@@ -41,8 +85,10 @@
   current: CoordinatorLease,
   latestStoreMs: number,
   orderMs: number,
+  era: number,
 ): boolean {
   return (
+    isOfEra(current, era) &&
     current.holder === vm &&
     latestStoreMs + orderMs < current.takenAt + COORDINATOR_LEASE_MS
   );
--- a/packages/gateway/src/fleet/fleet_rows.ts
+++ b/packages/gateway/src/fleet/fleet_rows.ts
@@ -63,6 +63,7 @@
   holder: z.string(),
   fence: z.number().int().min(0).max(Number.MAX_SAFE_INTEGER),
   takenAt: z.number(),
+  era: z.number().int().min(0).optional(),
 });
 
 const SHARES_SCHEMA = z.record(
--- a/packages/gateway/src/fleet/fleet_view.ts
+++ b/packages/gateway/src/fleet/fleet_view.ts
@@ -5,6 +5,7 @@
   decidePrimaryLease,
 } from '@pistachiorill/core';
 import type {
+  LeaseEra,
   PrimaryLeaseDecision,
   ShareTable,
   StoreClock,
@@ -79,6 +80,14 @@
   );
 }
 
+/** Returns the store's era for a decision on the coordinator lease. */
+export function leaseEra(view: FleetView, now: number): LeaseEra {
+  const {era} = view;
+  if (!era) return {number: 0, seenForMs: 0, start: 'not-observed'};
+  const {number, seenAt, start} = era;
+  return {number, seenForMs: now - seenAt, start};
+}
+
 /** Returns this VM's primary lease for a group at the given time. */
 export function primaryLeaseOf(
   view: FleetView,
--- a/packages/gateway/src/leadership/leadership_task.ts
+++ b/packages/gateway/src/leadership/leadership_task.ts
@@ -15,7 +15,7 @@
 import {Task} from '@pistachiorill/tasks';
 import type {DatabaseTask} from '../database/database_task.js';
 import {COORDINATOR_LEASE_KEY, leadershipKey} from '../fleet/fleet_rows.js';
-import {isStoreResponsive, isProven} from '../fleet/fleet_view.js';
+import {isStoreResponsive, isProven, leaseEra} from '../fleet/fleet_view.js';
 import type {ListedMember} from '../ports/member_directory.js';
 import {OBSERVATION_TIMEOUT_MS, collectVerdict} from './collect_verdict.js';
 import {PrimaryChange} from './primary_change.js';
@@ -346,11 +346,14 @@
     const {vm, view, clock, peers, log} = this.deps;
     const {rows, storeClock} = view();
     const now = clock();
+    const era = leaseEra(view(), now);
     const decision = decideCoordinatorLease(
       vm,
       rows.duty?.value,
       earliestStoreTime(storeClock, now),
+      era,
     );
+    if (decision.kind === 'wait') return undefined;
     if (decision.kind === 'leave') {
       void peers.suspect(decision.holder, group, OBSERVATION_TIMEOUT_MS);
       return undefined;
@@ -360,6 +363,7 @@
       holder: vm,
       fence: decision.fence,
       takenAt,
+      era: era.number,
     };
     this.leaseAcquisition = 'under-way';
     const result = await this.deps.transact({
@@ -372,6 +376,7 @@
         event: 'duty.taken',
         group,
         fence: decision.fence,
+        era: era.number,
         result: result.ok ? 'done' : result.err,
       },
       'tried to acquire the coordinator lease',
--- a/packages/gateway/src/leadership/primary_change.ts
+++ b/packages/gateway/src/leadership/primary_change.ts
@@ -1,6 +1,8 @@
 import {
   chooseSuccessor,
+  eraOf,
   holdsCoordinatorLease,
+  isOfEra,
   laterPosition,
   latestStoreTime,
 } from '@pistachiorill/core';
@@ -136,7 +138,8 @@
     const isOwn =
       announced.origin === 'own-move' &&
       lease?.value.holder === this.deps.vm &&
-      lease.value.fence === this.fence;
+      lease.value.fence === this.fence &&
+      isOfEra(lease.value, this.era());
     if (!isOwn || current?.record.phase !== 'moving') return undefined;
     const record = {phase: 'settled', primary: from};
     const result = await this.deps.transact({
@@ -160,7 +163,9 @@
   ): Promise<PrimaryChangeOutcome> {
     const {from, reason} = this.request;
     const choosingSince = this.deps.clock();
-    while (this.isWithinTimeLimit()) {
+    // In another era of the store the lease of this change does not count.
+    const era = eraOf(announced.version);
+    while (this.isWithinTimeLimit() && this.era() === era) {
       const now = this.deps.clock();
       const others = this.deps.members().filter(item => item.member !== from);
       const [reports, former] = await Promise.all([
@@ -295,6 +300,7 @@
     const view = this.deps.view();
     const lease = view.rows.duty;
     if (!lease || lease.value.holder !== this.deps.vm) return false;
+    if (!isOfEra(lease.value, this.era())) return false;
     const takenAt = latestStoreTime(view.storeClock, this.deps.clock());
     const record: CoordinatorLease = {...lease.value, takenAt};
     const result = await this.deps.transact({
@@ -314,6 +320,7 @@
         lease,
         latestStoreTime(this.deps.view().storeClock, this.deps.clock()),
         ORDER_TIMEOUT_MS,
+        this.era(),
       )
     );
   }
@@ -345,6 +352,11 @@
     return 'given-up';
   }
 
+  /** The era of the store's rows. */
+  private era(): number {
+    return eraOf(this.deps.view().version);
+  }
+
   private isWithinTimeLimit(): boolean {
     return this.deps.clock() - this.startedAt < CHANGE_TIMEOUT_MS;
   }
