Write leadership records again when the store went back to a copy

What callers would see: a primary that was replaced in the lost seconds is used again, and writes are acknowledged that its successor does not have.

Cause: the record of the copy names the former primary and has a version of the newer era. A VM that had stopped using it takes the record for the newest one, and a VM that had not yet heard of the change renews its primary lease on it, although the coordinator counts on the lease to expire.

Why it works:

- A row tells the era in which its record was written, and the version of the record if it is only written again (origin).
Records of a group are ordered by origin, also in DatabaseTask, so that a row of the copy does not undo what a VM knows from its peers.
- A VM keeps the newest records that it has read.
If the copy lacks one, it acts on the known one and writes it again at once, by rank, on the condition of the row's version.
- Until then primary leases on it last only by the proof of the era before, and a process without such a proof has none.
- A first primary is not recorded, and observations are not collected, while nobody may acquire the coordinator lease.
The acquisition of the lease moved to a class of its own.

--- a/packages/core/src/leadership/leadership_record.ts
+++ b/packages/core/src/leadership/leadership_record.ts
@@ -21,10 +21,24 @@
       readonly reason: PrimaryChangeReason;
     };
 
+/**
+ * Whether a record was written in the present era of the store (`confirmed`),
+ * comes from the copy to which the store went back (`copied`), or is missing
+ * there although this VM has read it before (`lost`).
+ */
+export type LeadershipStanding = 'confirmed' | 'copied' | 'lost';
+
 /** A record with the version of its row in the store. */
 export interface VersionedLeadership {
   readonly record: LeadershipRecord;
   readonly version: number;
+  /**
+   * The version at which the record was first written; that of the row if left
+   * out. It orders the records of a group.
+   */
+  readonly origin?: number;
+  /** Confirmed if left out. */
+  readonly standing?: LeadershipStanding;
 }
 
 /**
--- a/packages/gateway/src/daemon/database_set.ts
+++ b/packages/gateway/src/daemon/database_set.ts
@@ -1,3 +1,4 @@
+import {supersedesLeadership} from '@pistachiorill/core';
 import type {
   PrimaryLeaseDecision,
   VersionedLeadership,
@@ -152,7 +153,9 @@
     const view = this.deps.view();
     const newest = view.rows.leadership.get(group);
     const leadership =
-      newest && newest.version > (known?.version ?? 0) ? newest : known;
+      newest && !(known && supersedesLeadership(known, newest))
+        ? newest
+        : known;
     return primaryLeaseOf(view, leadership, this.deps.clock());
   }
 
--- a/packages/gateway/src/database/database_task.ts
+++ b/packages/gateway/src/database/database_task.ts
@@ -1,4 +1,4 @@
-import {fail, ok} from '@pistachiorill/core';
+import {fail, ok, supersedesLeadership} from '@pistachiorill/core';
 import type {
   PrimaryObservation,
   Result,
@@ -175,10 +175,9 @@
     now: number,
   ): void {
     if (!leadership) return;
-    if (this.leadership && this.leadership.version >= leadership.version) {
-      return;
-    }
-    const before = this.leadership?.record;
+    const known = this.leadership;
+    if (known && !supersedesLeadership(leadership, known)) return;
+    const before = known?.record;
     this.leadership = leadership;
     this.sampler.close();
     const {record, version} = leadership;
--- a/packages/gateway/src/fleet/fleet_rows.ts
+++ b/packages/gateway/src/fleet/fleet_rows.ts
@@ -1,7 +1,8 @@
-import {FULL_SHARE_PPM} from '@pistachiorill/core';
+import {FULL_SHARE_PPM, leadershipOfRow} from '@pistachiorill/core';
 import type {
   CoordinatorLease,
   LeadershipRecord,
+  LeadershipStamp,
   ShareTable,
   VersionedLeadership,
 } from '@pistachiorill/core';
@@ -50,15 +51,32 @@
  */
 export type VmRegistration = z.infer<typeof VM_SCHEMA>;
 
+const VERSION = z.number().int().min(0);
+/** When a leadership record was written; left out in era 0. */
+const STAMP = {era: VERSION.optional(), origin: VERSION.optional()};
+
 const LEADERSHIP_SCHEMA = z.discriminatedUnion('phase', [
-  z.object({phase: z.literal('settled'), primary: z.string()}),
+  z.object({phase: z.literal('settled'), primary: z.string(), ...STAMP}),
   z.object({
     phase: z.literal('moving'),
     from: z.string(),
     reason: z.enum(['unreachable', 'leaving', 'gone']),
+    ...STAMP,
   }),
 ]);
 
+/**
+ * Encodes a record that is written in an era. `origin` is the version of a record
+ * that is only written again.
+ */
+export function encodeLeadership(
+  record: LeadershipRecord,
+  era: number,
+  origin?: number,
+): string {
+  return JSON.stringify({...record, era: era || undefined, origin});
+}
+
 const DUTY_SCHEMA = z.object({
   holder: z.string(),
   fence: z.number().int().min(0).max(Number.MAX_SAFE_INTEGER),
@@ -104,6 +122,7 @@
       readonly kind: 'leadership';
       readonly group: string;
       readonly record: LeadershipRecord;
+      readonly stamp: LeadershipStamp;
     }
   | {readonly kind: 'duty'; readonly value: CoordinatorLease}
   | {readonly kind: 'shares'; readonly value: ShareTable}
@@ -134,7 +153,10 @@
           vms.set(content.vm, {value: content.value, version});
           break;
         case 'leadership':
-          leadership.set(content.group, {record: content.record, version});
+          leadership.set(
+            content.group,
+            leadershipOfRow(content.record, content.stamp, version),
+          );
           break;
         case 'duty':
           duty = {value: content.value, version};
@@ -167,10 +189,11 @@
     return {kind: 'vm', vm: key.slice(VM_PREFIX.length), value};
   }
   if (key.startsWith(LEADERSHIP_PREFIX)) {
-    const record: LeadershipRecord | undefined = read(LEADERSHIP_SCHEMA, text);
-    if (!record) return UNREADABLE;
+    const value = read(LEADERSHIP_SCHEMA, text);
+    if (!value) return UNREADABLE;
+    const {era, origin, ...record} = value;
     const group = key.slice(LEADERSHIP_PREFIX.length);
-    return {kind: 'leadership', group, record};
+    return {kind: 'leadership', group, record, stamp: {era, origin}};
   }
   if (key === COORDINATOR_LEASE_KEY) {
     const value = read(DUTY_SCHEMA, text);
--- a/packages/gateway/src/fleet/fleet_state.ts
+++ b/packages/gateway/src/fleet/fleet_state.ts
@@ -1,4 +1,5 @@
 import {
+  PRIMARY_LEASE_MS,
   UNKNOWN_STORE_CLOCK,
   eraOf,
   latestStoreTime,
@@ -15,6 +16,7 @@
 import type {ReadScope} from './fleet_message.js';
 import type {RowDecoder} from './fleet_rows.js';
 import type {EraView, FleetView} from './fleet_view.js';
+import {LeadershipHistory} from './leadership_history.js';
 import {joinedState} from './registration.js';
 import type {RegisteredProcess} from './registration.js';
 import {applyRelayedRows, narrowByRelay} from './relayed_rows.js';
@@ -26,6 +28,7 @@
   private newestProof: StoreProof | undefined;
   private clock: StoreClock = UNKNOWN_STORE_CLOCK;
   private era: EraView | undefined;
+  private readonly leadership = new LeadershipHistory();
   private currentView: FleetView;
 
   constructor(
@@ -86,7 +89,7 @@
   /** Decodes the rows into a new view. */
   decode(): FleetView {
     const rows = this.decoder.decode(this.copy.values());
-    return this.update(rows);
+    return this.update(this.leadership.complete(rows, this.copy.version));
   }
 
   /** Renews the view without decoding the rows, which are unchanged. */
@@ -109,12 +112,18 @@
 
   private noteEra(now: number): void {
     const number = eraOf(this.copy.version);
-    if (this.era && number <= this.era.number) return;
+    const {era} = this;
+    if (era && number <= era.number) return;
+    // Records of an era that was short may not have been confirmed in it.
+    const wasShort = era && now - era.seenAt < PRIMARY_LEASE_MS;
     this.era = {
       number,
       seenAt: now,
-      start: this.era ? 'observed' : 'not-observed',
-      earlierProof: this.newestProof,
+      start: era ? 'observed' : 'not-observed',
+      earlierProof:
+        wasShort && era.start === 'observed'
+          ? era.earlierProof
+          : this.newestProof,
     };
   }
 
--- a/packages/gateway/src/fleet/fleet_view.ts
+++ b/packages/gateway/src/fleet/fleet_view.ts
@@ -1,6 +1,7 @@
 import {
   PRIMARY_LEASE_MS,
   UNKNOWN_STORE_CLOCK,
+  isConfirmed,
   latestStoreTime,
   decidePrimaryLease,
 } from '@pistachiorill/core';
@@ -88,7 +89,11 @@
   return {number, seenForMs: now - seenAt, start};
 }
 
-/** Returns this VM's primary lease for a group at the given time. */
+/**
+ * Returns this VM's primary lease for a group at the given time. A record that
+ * nobody has written in the present era is only proven by what was read in the
+ * era before: the copy may lack that the primary is being replaced.
+ */
 export function primaryLeaseOf(
   view: FleetView,
   leadership: VersionedLeadership | undefined,
@@ -97,7 +102,10 @@
   return decidePrimaryLease(
     {
       record: leadership?.record,
-      proof: view.proof,
+      proof:
+        !leadership || isConfirmed(leadership)
+          ? view.proof
+          : view.era?.earlierProof,
       joined: view.joined,
     },
     latestStoreTime(view.storeClock, now),
--- a/packages/gateway/src/leadership/leadership_task.ts
+++ b/packages/gateway/src/leadership/leadership_task.ts
@@ -1,23 +1,20 @@
 import {
   SUSPECT_AFTER_MS,
-  decideCoordinatorLease,
   earliestStoreTime,
-  latestStoreTime,
+  eraOf,
   mayHoldPrimaryLease,
   rankDelayMs,
   rendezvousOrder,
 } from '@pistachiorill/core';
-import type {
-  CoordinatorLease,
-  PrimaryChangeReason,
-  SuspicionOutcome,
-} from '@pistachiorill/core';
+import type {PrimaryChangeReason, SuspicionOutcome} from '@pistachiorill/core';
 import {Task} from '@pistachiorill/tasks';
 import type {DatabaseTask} from '../database/database_task.js';
-import {COORDINATOR_LEASE_KEY, leadershipKey} from '../fleet/fleet_rows.js';
-import {isStoreResponsive, isProven, leaseEra} from '../fleet/fleet_view.js';
+import {encodeLeadership, leadershipKey} from '../fleet/fleet_rows.js';
+import {isStoreResponsive, isProven} from '../fleet/fleet_view.js';
 import type {ListedMember} from '../ports/member_directory.js';
-import {OBSERVATION_TIMEOUT_MS, collectVerdict} from './collect_verdict.js';
+import {collectVerdict} from './collect_verdict.js';
+import {LeadershipRewriter} from './leadership_rewriter.js';
+import {LeaseAcquirer} from './lease_acquirer.js';
 import {PrimaryChange} from './primary_change.js';
 import type {
   PrimaryChangeOutcome,
@@ -96,10 +93,16 @@
   private timer: NodeJS.Timeout | undefined;
   /** Groups whose switchover waits for the VMs' answers to a ping. */
   private readonly pingingGroups = new Set<string>();
-  private leaseAcquisition: 'idle' | 'under-way' = 'idle';
+  private readonly lease: LeaseAcquirer;
+  private readonly rewriter: LeadershipRewriter;
 
   constructor(private readonly deps: LeadershipDependencies) {
     super();
+    this.lease = new LeaseAcquirer(deps);
+    this.rewriter = new LeadershipRewriter({
+      ...deps,
+      rankDelay: group => this.rankDelay(group),
+    });
   }
 
   protected override handle(message: LeadershipMessage): void {
@@ -135,6 +138,7 @@
   private review(): void {
     const now = this.deps.clock();
     if (!isProven(this.deps.view(), now)) return;
+    this.rewriter.review(now);
     if (this.deps.directory() === 'unknown') return;
     for (const group of this.deps.groups()) this.reviewGroup(group, now);
   }
@@ -185,17 +189,19 @@
     const primary = this.deps
       .members(group)
       .find(item => item.role === 'primary');
-    if (!primary) return;
+    // The store may have gone back to a copy that lacks the record.
+    if (!primary || this.lease.mustWait()) return;
     const pending = this.pendingChanges.get(group);
     const since = pending?.since ?? now;
     this.pendingChanges.set(group, {reason: 'gone', from: '', since});
     if (now - since < this.rankDelay(group)) return;
     this.pendingChanges.delete(group);
-    const record = {phase: 'settled', primary: primary.member};
+    const record = {phase: 'settled' as const, primary: primary.member};
+    const era = eraOf(this.deps.view().version);
     void this.deps
       .transact({
         expected: new Map([[leadershipKey(group), 0]]),
-        puts: new Map([[leadershipKey(group), JSON.stringify(record)]]),
+        puts: new Map([[leadershipKey(group), encodeLeadership(record, era)]]),
       })
       .then(result =>
         this.deps.log.info(
@@ -244,7 +250,7 @@
   private async evaluatePrimary(group: string, since: number): Promise<void> {
     const {clock, view} = this.deps;
     const record = view().rows.leadership.get(group)?.record;
-    if (record?.phase !== 'settled') return;
+    if (record?.phase !== 'settled' || this.lease.mustWait()) return;
     this.recordEvaluation(group, clock());
     if ((await this.collectVerdict(group, record.primary)) === 'keep') return;
     const change: PendingChange = {
@@ -270,10 +276,11 @@
   ): Promise<void> {
     const database = this.deps.database(group);
     if (this.runningChanges.has(group) || !database) return;
+    if (this.lease.mustWait()) return;
     if (reason === 'leaving' && !(await this.mayAnnounce(group, since))) return;
     // A change started without the store may be out of date when it returns.
     if (!isStoreResponsive(this.deps.view(), this.deps.clock())) return;
-    const fence = await this.acquireLease(group);
+    const fence = await this.lease.acquire(group);
     if (fence === undefined || this.runningChanges.has(group)) return;
     this.runningChanges.add(group);
     const change = new PrimaryChange(
@@ -336,51 +343,4 @@
     const earliest = earliestStoreTime(storeClock, this.deps.clock());
     return lostBy === undefined || mayHoldPrimaryLease(lostBy, earliest);
   }
-
-  /**
-   * Acquires or extends the coordinator lease; returns its fencing number. If
-   * another VM is the coordinator, passes the suspicion on to it.
-   */
-  private async acquireLease(group: string): Promise<number | undefined> {
-    if (this.leaseAcquisition === 'under-way') return undefined;
-    const {vm, view, clock, peers, log} = this.deps;
-    const {rows, storeClock} = view();
-    const now = clock();
-    const era = leaseEra(view(), now);
-    const decision = decideCoordinatorLease(
-      vm,
-      rows.duty?.value,
-      earliestStoreTime(storeClock, now),
-      era,
-    );
-    if (decision.kind === 'wait') return undefined;
-    if (decision.kind === 'leave') {
-      void peers.suspect(decision.holder, group, OBSERVATION_TIMEOUT_MS);
-      return undefined;
-    }
-    const takenAt = latestStoreTime(storeClock, now);
-    const record: CoordinatorLease = {
-      holder: vm,
-      fence: decision.fence,
-      takenAt,
-      era: era.number,
-    };
-    this.leaseAcquisition = 'under-way';
-    const result = await this.deps.transact({
-      expected: new Map([[COORDINATOR_LEASE_KEY, rows.duty?.version ?? 0]]),
-      puts: new Map([[COORDINATOR_LEASE_KEY, JSON.stringify(record)]]),
-    });
-    this.leaseAcquisition = 'idle';
-    log.info(
-      {
-        event: 'duty.taken',
-        group,
-        fence: decision.fence,
-        era: era.number,
-        result: result.ok ? 'done' : result.err,
-      },
-      'tried to acquire the coordinator lease',
-    );
-    return result.ok ? decision.fence : undefined;
-  }
 }
--- a/packages/gateway/src/leadership/primary_change.ts
+++ b/packages/gateway/src/leadership/primary_change.ts
@@ -13,7 +13,11 @@
 } from '@pistachiorill/core';
 import {ask, sleep} from '@pistachiorill/tasks';
 import type {StatusResult} from '../database/database_message.js';
-import {COORDINATOR_LEASE_KEY, leadershipKey} from '../fleet/fleet_rows.js';
+import {
+  COORDINATOR_LEASE_KEY,
+  encodeLeadership,
+  leadershipKey,
+} from '../fleet/fleet_rows.js';
 import type {ListedMember} from '../ports/member_directory.js';
 import type {
   PrimaryChangeOutcome,
@@ -111,7 +115,9 @@
           [leadershipKey(group), current.version],
           [COORDINATOR_LEASE_KEY, lease.version],
         ]),
-        puts: new Map([[leadershipKey(group), JSON.stringify(moving)]]),
+        puts: new Map([
+          [leadershipKey(group), encodeLeadership(moving, this.era())],
+        ]),
       });
       if (result.ok) {
         this.log('announced', {version: result.value.version});
@@ -141,13 +147,15 @@
       lease.value.fence === this.fence &&
       isOfEra(lease.value, this.era());
     if (!isOwn || current?.record.phase !== 'moving') return undefined;
-    const record = {phase: 'settled', primary: from};
+    const record = {phase: 'settled' as const, primary: from};
     const result = await this.deps.transact({
       expected: new Map([
         [leadershipKey(group), current.version],
         [COORDINATOR_LEASE_KEY, lease.version],
       ]),
-      puts: new Map([[leadershipKey(group), JSON.stringify(record)]]),
+      puts: new Map([
+        [leadershipKey(group), encodeLeadership(record, this.era())],
+      ]),
     });
     this.log('reverted', {result: result.ok ? 'done' : result.err});
     return result.ok ? 'reverted' : undefined;
@@ -331,13 +339,14 @@
     term?: number,
   ): Promise<PrimaryChangeOutcome> {
     const {group, from} = this.request;
+    const record = {phase: 'settled' as const, primary};
     while (this.isWithinTimeLimit()) {
       const current = this.deps.view().rows.leadership.get(group);
       if (!current || current.record.phase !== 'moving') return 'lost';
       const result = await this.deps.transact({
         expected: new Map([[leadershipKey(group), current.version]]),
         puts: new Map([
-          [leadershipKey(group), JSON.stringify({phase: 'settled', primary})],
+          [leadershipKey(group), encodeLeadership(record, this.era())],
         ]),
       });
       if (result.ok) {
--- a/packages/gateway/src/testing/fake_store.ts
+++ b/packages/gateway/src/testing/fake_store.ts
@@ -1,4 +1,4 @@
-import {fail, ok} from '@pistachiorill/core';
+import {composeVersion, counterOf, eraOf, fail, ok} from '@pistachiorill/core';
 import type {Result} from '@pistachiorill/core';
 import {TransactionalStore} from '@pistachiorill/store';
 import type {
@@ -54,6 +54,23 @@
     for (const wake of this.pendingPolls.splice(0)) wake();
   }
 
+  /**
+   * Goes back to rows of an earlier state. They get versions of a new era with
+   * the same counters.
+   */
+  restore(rows: readonly TableRow[]): void {
+    const era = eraOf(this.version) + 1;
+    const counters = rows.map(row => counterOf(row.version));
+    this.version = composeVersion(era, Math.max(0, ...counters));
+    this.rows.clear();
+    this.history.length = 0;
+    for (const [i, row] of rows.entries()) {
+      const version = composeVersion(era, counters[i] ?? 0);
+      this.rows.set(row.key, {...row, version});
+    }
+    for (const wake of this.pendingPolls.splice(0)) wake();
+  }
+
   /** Returns all rows as `readAll` does, for use as a stale read later. */
   copy(): TableReadResult {
     return this.answer([...this.rows.values()], []);
@@ -80,6 +97,9 @@
         });
       });
     }
+    if (eraOf(after) !== eraOf(this.version)) {
+      return fail({kind: 'history-lost'});
+    }
     if (this.mode === 'history-lost') return fail({kind: 'history-lost'});
     if (this.historyState === 'lost') {
       this.historyState = 'kept';
