--- a/packages/core/src/leadership/leadership_record.ts
+++ b/packages/core/src/leadership/leadership_record.ts
@@ -21,10 +21,24 @@
       readonly reason: PrimaryChangeReason;
     };
 
+/**
+ * Whether a record was written in the present era of the store (`confirmed`),
+ * comes from the copy to which the store went back (`copied`), or is missing
+ * there although this VM has read it before (`lost`).
+ */
+export type LeadershipStanding = 'confirmed' | 'copied' | 'lost';
+
 /** A record with the version of its row in the store. */
 export interface VersionedLeadership {
   readonly record: LeadershipRecord;
   readonly version: number;
+  /**
+   * The version at which the record was first written; that of the row if left
+   * out. It orders the records of a group.
+   */
+  readonly origin?: number;
+  /** Confirmed if left out. */
+  readonly standing?: LeadershipStanding;
 }
 
 /**
@@ -39,4 +53,9 @@
   readonly fence: number;
   /** Store time at which the holder last acquired or renewed the lease. */
   readonly takenAt: number;
+  /**
+   * The era of the store in which the holder acquired the lease; 0 if left out.
+   * A row of an earlier era comes from the copy to which the store went back.
+   */
+  readonly era?: number | undefined;
 }
--- a/packages/gateway/src/fleet/fleet_view.ts
+++ b/packages/gateway/src/fleet/fleet_view.ts
@@ -1,10 +1,12 @@
 import {
   PRIMARY_LEASE_MS,
   UNKNOWN_STORE_CLOCK,
+  isConfirmed,
   latestStoreTime,
   decidePrimaryLease,
 } from '@pistachiorill/core';
 import type {
+  LeaseEra,
   PrimaryLeaseDecision,
   ShareTable,
   StoreClock,
@@ -79,7 +81,19 @@
   );
 }
 
-/** Returns this VM's primary lease for a group at the given time. */
+/** Returns the store's era for a decision on the coordinator lease. */
+export function leaseEra(view: FleetView, now: number): LeaseEra {
+  const {era} = view;
+  if (!era) return {number: 0, seenForMs: 0, start: 'not-observed'};
+  const {number, seenAt, start} = era;
+  return {number, seenForMs: now - seenAt, start};
+}
+
+/**
+ * Returns this VM's primary lease for a group at the given time. A record that
+ * nobody has written in the present era is only proven by what was read in the
+ * era before: the copy may lack that the primary is being replaced.
+ */
 export function primaryLeaseOf(
   view: FleetView,
   leadership: VersionedLeadership | undefined,
@@ -88,7 +102,10 @@
   return decidePrimaryLease(
     {
       record: leadership?.record,
-      proof: view.proof,
+      proof:
+        !leadership || isConfirmed(leadership)
+          ? view.proof
+          : view.era?.earlierProof,
       joined: view.joined,
     },
     latestStoreTime(view.storeClock, now),
