--- a/soak/src/stall_monitor.ts
+++ b/soak/src/stall_monitor.ts
@@ -1,3 +1,4 @@
+import {sleep} from '@pistachiorill/tasks';
 import type {Stall} from './checks/check_lost.js';
 
 const TICK_MS = 10;
@@ -31,6 +32,25 @@
     return Math.round(sum);
   }
 
+  /** Whether a stall of at least the given length fell into the interval. */
+  hasStall(fromMs: number, toMs: number, minMs: number): boolean {
+    return this.found.some(
+      stall =>
+        stall.toMs >= fromMs &&
+        stall.fromMs <= toMs &&
+        stall.toMs - stall.fromMs >= minMs,
+    );
+  }
+
+  /** Waits until this process has run for the given time, without stalls. */
+  async sleepRunning(forMs: number): Promise<void> {
+    const startMs = this.clock();
+    const stalledBefore = this.stalledMs;
+    const ranMs = (): number =>
+      this.clock() - startMs - (this.stalledMs - stalledBefore);
+    while (ranMs() < forMs) await sleep(TICK_MS);
+  }
+
   stop(): void {
     clearInterval(this.timer);
   }
