Move the fake caller of the session's tests to the test support

Change: a file of its own for the fake; no test changed.

Measured: tests of session/ and database/ pass.

--- a/packages/gateway/src/database/deferred_checkouts.ts
+++ b/packages/gateway/src/database/deferred_checkouts.ts
@@ -29,8 +29,8 @@
   /** Refuses all check-outs from now on, starting with those that wait. */
   close(waiting: readonly CheckoutMessage[]): void {
     this.phase = 'closed';
-    for (const item of [...this.takeAll(), ...waiting])
-      this.refuseIfClosed(item);
+    const refused = [...this.takeAll(), ...waiting];
+    refused.forEach(item => this.refuseIfClosed(item));
   }
 
   /** Refuses a check-out if this is closed; returns whether it did. */
--- a/packages/gateway/src/session/__tests__/session_task.test.ts
+++ b/packages/gateway/src/session/__tests__/session_task.test.ts
@@ -1,14 +1,9 @@
 import {afterEach, describe, expect, it} from 'vitest';
 import type {RuntimeConfiguration} from '@pistachiorill/core';
 import {Pipeline, sleep} from '@pistachiorill/tasks';
-import {CallerLink} from '../../ports/caller_link.js';
-import type {
-  CallerStatement,
-  SessionRefusal,
-  SessionReply,
-} from '../../ports/caller_link.js';
-import type {TransactionState} from '../../ports/member_link.js';
+import type {CallerStatement} from '../../ports/caller_link.js';
 import {GatewayMetrics} from '../../telemetry/gateway_metrics.js';
+import {FakeCaller} from '../../testing/fake_caller.js';
 import {FakeGroup, silentLogger} from '../../testing/fake_group.js';
 import {PlaceFilter} from '../place_filter.js';
 import {RouteFilter} from '../route_filter.js';
@@ -18,53 +13,6 @@
 const SETTLE_MS = 40;
 const CONNECTION_LIMIT = 1;
 
-/** Records what the session sends to its caller. */
-class FakeCaller extends CallerLink {
-  /** The replies and other calls as text, in order. */
-  readonly seen: string[] = [];
-  /** Delivers requests that arrived and were not read yet. */
-  pending: () => void = () => undefined;
-  private open = true;
-
-  override get isOpen(): boolean {
-    return this.open;
-  }
-
-  override accept(): void {
-    this.seen.push('accepted');
-  }
-
-  override reject({kind}: SessionRefusal): void {
-    this.seen.push(`rejected: ${kind}`);
-  }
-
-  override reply(reply: SessionReply, transaction: TransactionState): void {
-    this.seen.push(`${describeReply(reply)}, transaction ${transaction}`);
-  }
-
-  override async receivePending(): Promise<void> {
-    this.pending();
-  }
-
-  override close(): void {
-    if (this.open) this.seen.push('closed');
-    this.open = false;
-  }
-}
-
-function describeReply(reply: SessionReply): string {
-  switch (reply.kind) {
-    case 'local':
-      return 'local';
-    case 'refused':
-      return `refused: ${reply.refusal.kind}`;
-    case 'member':
-      return reply.answer.outcome.kind === 'done'
-        ? reply.answer.outcome.signature
-        : reply.answer.outcome.error.code;
-  }
-}
-
 const CONFIGURATION: RuntimeConfiguration = {
   version: 1,
   routes: new Map([
