--- a/packages/core/src/restore/store_version.ts
+++ b/packages/core/src/restore/store_version.ts
@@ -9,7 +9,8 @@
  * milliseconds, and leaves room for 2,047 eras in a safe integer.
  */
 const ERA_STEP = 2 ** 42;
-const MAX_ERA = Math.floor(Number.MAX_SAFE_INTEGER / ERA_STEP) - 1;
+/** The highest era that a version can hold; later ones count as this one. */
+export const MAX_ERA = Math.floor(Number.MAX_SAFE_INTEGER / ERA_STEP) - 1;
 
 /** Returns the version for a value of the store's counter in an era. */
 export function composeVersion(era: number, counter: number): number {
