Order leadership records of different eras in one way

Callers would see: after a restore a VM that was cut off replaces, at any later time and without asking anybody to stop, a record that all others have confirmed: two VMs use different primaries until the next read.

Cause: a confirmed record of the present era superseded the known one, and the known one superseded it, so that DatabaseTask took one and FleetState and DatabaseSet the other.

Change: a record that was written in the present era wins in both functions. That the known one is newer shows again when its members answer as replicas.

--- a/packages/core/src/leadership/__tests__/restored_leadership.test.ts
+++ b/packages/core/src/leadership/__tests__/restored_leadership.test.ts
@@ -51,6 +51,7 @@
     const newest = newestLeadership(row, known, WRITTEN);
     const dueAfter = AGES.map(age => newest && isRewriteDue(newest, age, 120));
     const replacesKnown = row && known && supersedesLeadership(row, known);
-    expect({newest, dueAfter, replacesKnown}).toMatchSnapshot();
+    const isReplaced = row && known && supersedesLeadership(known, row);
+    expect({newest, dueAfter, replacesKnown, isReplaced}).toMatchSnapshot();
   });
 });
--- a/packages/core/src/leadership/restored_leadership.ts
+++ b/packages/core/src/leadership/restored_leadership.ts
@@ -42,8 +42,9 @@
 
 /**
  * Returns the newest record of a group: that of the store's row, or one that this
- * VM has read in an earlier era and that the copy lacks. The version is that of
- * the row in both cases; 0 without a row.
+ * VM has read in an earlier era and that the copy lacks. A row that was written
+ * in the present era counts as newest, as other VMs may use its primary already.
+ * The version is that of the row in all cases; 0 without a row.
  */
 export function newestLeadership(
   row: VersionedLeadership | undefined,
@@ -51,7 +52,7 @@
   version: number,
 ): VersionedLeadership | undefined {
   if (!known || eraOf(known.version) === eraOf(version)) return row;
-  if (row && originOf(row) >= originOf(known)) return row;
+  if (row && (isConfirmed(row) || originOf(row) >= originOf(known))) return row;
   return {
     record: known.record,
     version: row?.version ?? 0,
@@ -69,10 +70,10 @@
   next: VersionedLeadership,
   known: VersionedLeadership,
 ): boolean {
-  const isOfNewEra = eraOf(next.version) > eraOf(known.version);
-  return isOfNewEra && isConfirmed(next)
-    ? originOf(next) !== originOf(known)
-    : originOf(next) > originOf(known);
+  const eras = eraOf(next.version) - eraOf(known.version);
+  if (eras > 0 && isConfirmed(next)) return originOf(next) !== originOf(known);
+  if (eras < 0 && isConfirmed(known)) return false;
+  return originOf(next) > originOf(known);
 }
 
 /** Whether a record was written, or written again, in the present era. */
