Prove leases after a restore by eras in which their record was confirmed

Callers would see: after a second restore a VM uses a primary that may have been replaced in the lost seconds.

Cause: the proof of the era before was kept for all records, also if nobody had confirmed the record in that era; its length alone decided.

Evidence: 'never confirmed' and 'never confirmed in a long era' of fleet_state.test.ts were granted before.

Change: when an era ends, a VM keeps its proof for the records that are confirmed in it; a record has no lease in a later era without such a proof.

--- a/packages/core/src/leadership/leadership_record.ts
+++ b/packages/core/src/leadership/leadership_record.ts
@@ -1,3 +1,5 @@
+import type {StoreProof} from './primary_lease.js';
+
 /** The reason for a primary change. */
 export type PrimaryChangeReason =
   /** At least half of the running VMs cannot reach the primary. */
@@ -39,6 +41,8 @@
   readonly origin?: number;
   /** Confirmed if left out. */
   readonly standing?: LeadershipStanding;
+  /** The last proof of an era in which the record of the group was confirmed. */
+  readonly earlierProof?: StoreProof | undefined;
 }
 
 /**
--- a/packages/gateway/src/fleet/fleet_state.ts
+++ b/packages/gateway/src/fleet/fleet_state.ts
@@ -1,5 +1,4 @@
 import {
-  PRIMARY_LEASE_MS,
   UNKNOWN_STORE_CLOCK,
   eraOf,
   latestStoreTime,
@@ -114,17 +113,9 @@
     const number = eraOf(this.copy.version);
     const {era} = this;
     if (era && number <= era.number) return;
-    // Records of an era that was short may not have been confirmed in it.
-    const wasShort = era && now - era.seenAt < PRIMARY_LEASE_MS;
-    this.era = {
-      number,
-      seenAt: now,
-      start: era ? 'observed' : 'not-observed',
-      earlierProof:
-        wasShort && era.start === 'observed'
-          ? era.earlierProof
-          : this.newestProof,
-    };
+    this.leadership.endEra(this.currentView.rows, this.newestProof);
+    const start = era ? 'observed' : 'not-observed';
+    this.era = {number, seenAt: now, start};
   }
 
   private advanceProof(asOfStoreMs: number): void {
--- a/packages/gateway/src/fleet/fleet_view.ts
+++ b/packages/gateway/src/fleet/fleet_view.ts
@@ -22,8 +22,6 @@
   readonly seenAt: number;
   /** Whether this process has read rows of an earlier era before. */
   readonly start: 'observed' | 'not-observed';
-  /** The last proof of the era before. */
-  readonly earlierProof: StoreProof | undefined;
 }
 
 /** One VM's copy of the shared rows, and how recent it is. */
@@ -105,7 +103,7 @@
       proof:
         !leadership || isConfirmed(leadership)
           ? view.proof
-          : view.era?.earlierProof,
+          : leadership.earlierProof,
       joined: view.joined,
     },
     latestStoreTime(view.storeClock, now),
