--- a/packages/gateway/src/daemon/database_set.ts
+++ b/packages/gateway/src/daemon/database_set.ts
@@ -1,3 +1,4 @@
+import {supersedesLeadership} from '@pistachiorill/core';
 import type {
   PrimaryLeaseDecision,
   VersionedLeadership,
@@ -47,6 +48,7 @@
   private operators: OperatorState | undefined;
   private members: readonly ListedMember[] = [];
   private vmCount = 1;
+  private phase: 'open' | 'closed' = 'open';
 
   constructor(private readonly deps: DatabaseSetDependencies) {}
 
@@ -64,6 +66,7 @@
 
   /** Opens the groups that the configuration adds; closes removed ones. */
   updateOperatorState(state: OperatorState): void {
+    if (this.phase === 'closed') return;
     this.operators = state;
     const groups = state.configuration?.groups ?? new Map();
     for (const group of groups.keys()) {
@@ -109,7 +112,9 @@
     return unreached.length * 2 > this.tasks.size;
   }
 
+  /** Closes all groups and opens no further one. */
   close(): void {
+    this.phase = 'closed';
     for (const task of this.tasks.values()) task.tell({kind: 'close'});
   }
 
@@ -152,7 +157,9 @@
     const view = this.deps.view();
     const newest = view.rows.leadership.get(group);
     const leadership =
-      newest && newest.version > (known?.version ?? 0) ? newest : known;
+      newest && !(known && supersedesLeadership(known, newest))
+        ? newest
+        : known;
     return primaryLeaseOf(view, leadership, this.deps.clock());
   }
 
--- a/packages/gateway/src/fleet/fleet_view.ts
+++ b/packages/gateway/src/fleet/fleet_view.ts
@@ -1,10 +1,12 @@
 import {
   PRIMARY_LEASE_MS,
   UNKNOWN_STORE_CLOCK,
+  isConfirmed,
   latestStoreTime,
   decidePrimaryLease,
 } from '@pistachiorill/core';
 import type {
+  LeaseEra,
   PrimaryLeaseDecision,
   ShareTable,
   StoreClock,
@@ -20,8 +22,6 @@
   readonly seenAt: number;
   /** Whether this process has read rows of an earlier era before. */
   readonly start: 'observed' | 'not-observed';
-  /** The last proof of the era before. */
-  readonly earlierProof: StoreProof | undefined;
 }
 
 /** One VM's copy of the shared rows, and how recent it is. */
@@ -79,7 +79,19 @@
   );
 }
 
-/** Returns this VM's primary lease for a group at the given time. */
+/** Returns the store's era for a decision on the coordinator lease. */
+export function leaseEra(view: FleetView, now: number): LeaseEra {
+  const {era} = view;
+  if (!era) return {number: 0, seenForMs: 0, start: 'not-observed'};
+  const {number, seenAt, start} = era;
+  return {number, seenForMs: now - seenAt, start};
+}
+
+/**
+ * Returns this VM's primary lease for a group at the given time. A record that
+ * nobody has written in the present era is only proven by what was read in the
+ * era before: the copy may lack that the primary is being replaced.
+ */
 export function primaryLeaseOf(
   view: FleetView,
   leadership: VersionedLeadership | undefined,
@@ -88,7 +100,10 @@
   return decidePrimaryLease(
     {
       record: leadership?.record,
-      proof: view.proof,
+      proof:
+        !leadership || isConfirmed(leadership)
+          ? view.proof
+          : leadership.earlierProof,
       joined: view.joined,
     },
     latestStoreTime(view.storeClock, now),
--- a/packages/gateway/src/leadership/primary_change.ts
+++ b/packages/gateway/src/leadership/primary_change.ts
@@ -1,6 +1,8 @@
 import {
   chooseSuccessor,
+  eraOf,
   holdsCoordinatorLease,
+  isOfEra,
   laterPosition,
   latestStoreTime,
 } from '@pistachiorill/core';
@@ -11,7 +13,11 @@
 } from '@pistachiorill/core';
 import {ask, sleep} from '@pistachiorill/tasks';
 import type {StatusResult} from '../database/database_message.js';
-import {COORDINATOR_LEASE_KEY, leadershipKey} from '../fleet/fleet_rows.js';
+import {
+  COORDINATOR_LEASE_KEY,
+  encodeLeadership,
+  leadershipKey,
+} from '../fleet/fleet_rows.js';
 import type {ListedMember} from '../ports/member_directory.js';
 import type {
   PrimaryChangeOutcome,
@@ -109,7 +115,9 @@
           [leadershipKey(group), current.version],
           [COORDINATOR_LEASE_KEY, lease.version],
         ]),
-        puts: new Map([[leadershipKey(group), JSON.stringify(moving)]]),
+        puts: new Map([
+          [leadershipKey(group), encodeLeadership(moving, this.era())],
+        ]),
       });
       if (result.ok) {
         this.log('announced', {version: result.value.version});
@@ -136,15 +144,18 @@
     const isOwn =
       announced.origin === 'own-move' &&
       lease?.value.holder === this.deps.vm &&
-      lease.value.fence === this.fence;
+      lease.value.fence === this.fence &&
+      isOfEra(lease.value, this.era());
     if (!isOwn || current?.record.phase !== 'moving') return undefined;
-    const record = {phase: 'settled', primary: from};
+    const record = {phase: 'settled' as const, primary: from};
     const result = await this.deps.transact({
       expected: new Map([
         [leadershipKey(group), current.version],
         [COORDINATOR_LEASE_KEY, lease.version],
       ]),
-      puts: new Map([[leadershipKey(group), JSON.stringify(record)]]),
+      puts: new Map([
+        [leadershipKey(group), encodeLeadership(record, this.era())],
+      ]),
     });
     this.log('reverted', {result: result.ok ? 'done' : result.err});
     return result.ok ? 'reverted' : undefined;
@@ -160,7 +171,9 @@
   ): Promise<PrimaryChangeOutcome> {
     const {from, reason} = this.request;
     const choosingSince = this.deps.clock();
-    while (this.isWithinTimeLimit()) {
+    // In another era of the store the lease of this change does not count.
+    const era = eraOf(announced.version);
+    while (this.isWithinTimeLimit() && this.era() === era) {
       const now = this.deps.clock();
       const others = this.deps.members().filter(item => item.member !== from);
       const [reports, former] = await Promise.all([
@@ -295,6 +308,7 @@
     const view = this.deps.view();
     const lease = view.rows.duty;
     if (!lease || lease.value.holder !== this.deps.vm) return false;
+    if (!isOfEra(lease.value, this.era())) return false;
     const takenAt = latestStoreTime(view.storeClock, this.deps.clock());
     const record: CoordinatorLease = {...lease.value, takenAt};
     const result = await this.deps.transact({
@@ -314,6 +328,7 @@
         lease,
         latestStoreTime(this.deps.view().storeClock, this.deps.clock()),
         ORDER_TIMEOUT_MS,
+        this.era(),
       )
     );
   }
@@ -324,13 +339,14 @@
     term?: number,
   ): Promise<PrimaryChangeOutcome> {
     const {group, from} = this.request;
+    const record = {phase: 'settled' as const, primary};
     while (this.isWithinTimeLimit()) {
       const current = this.deps.view().rows.leadership.get(group);
       if (!current || current.record.phase !== 'moving') return 'lost';
       const result = await this.deps.transact({
         expected: new Map([[leadershipKey(group), current.version]]),
         puts: new Map([
-          [leadershipKey(group), JSON.stringify({phase: 'settled', primary})],
+          [leadershipKey(group), encodeLeadership(record, this.era())],
         ]),
       });
       if (result.ok) {
@@ -345,6 +361,11 @@
     return 'given-up';
   }
 
+  /** The era of the store's rows. */
+  private era(): number {
+    return eraOf(this.deps.view().version);
+  }
+
   private isWithinTimeLimit(): boolean {
     return this.deps.clock() - this.startedAt < CHANGE_TIMEOUT_MS;
   }
--- a/packages/gateway/src/session/__tests__/session_task.test.ts
+++ b/packages/gateway/src/session/__tests__/session_task.test.ts
@@ -1,14 +1,9 @@
 import {afterEach, describe, expect, it} from 'vitest';
 import type {RuntimeConfiguration} from '@pistachiorill/core';
-import {Pipeline} from '@pistachiorill/tasks';
-import {CallerLink} from '../../ports/caller_link.js';
-import type {
-  CallerStatement,
-  SessionRefusal,
-  SessionReply,
-} from '../../ports/caller_link.js';
-import type {TransactionState} from '../../ports/member_link.js';
+import {Pipeline, sleep} from '@pistachiorill/tasks';
+import type {CallerStatement} from '../../ports/caller_link.js';
 import {GatewayMetrics} from '../../telemetry/gateway_metrics.js';
+import {FakeCaller} from '../../testing/fake_caller.js';
 import {FakeGroup, silentLogger} from '../../testing/fake_group.js';
 import {PlaceFilter} from '../place_filter.js';
 import {RouteFilter} from '../route_filter.js';
@@ -18,53 +13,6 @@
 const SETTLE_MS = 40;
 const CONNECTION_LIMIT = 1;
 
-/** Records what the session sends to its caller. */
-class FakeCaller extends CallerLink {
-  /** The replies and other calls as text, in order. */
-  readonly seen: string[] = [];
-  /** Delivers requests that arrived and were not read yet. */
-  pending: () => void = () => undefined;
-  private open = true;
-
-  override get isOpen(): boolean {
-    return this.open;
-  }
-
-  override accept(): void {
-    this.seen.push('accepted');
-  }
-
-  override reject({kind}: SessionRefusal): void {
-    this.seen.push(`rejected: ${kind}`);
-  }
-
-  override reply(reply: SessionReply, transaction: TransactionState): void {
-    this.seen.push(`${describeReply(reply)}, transaction ${transaction}`);
-  }
-
-  override async receivePending(): Promise<void> {
-    this.pending();
-  }
-
-  override close(): void {
-    if (this.open) this.seen.push('closed');
-    this.open = false;
-  }
-}
-
-function describeReply(reply: SessionReply): string {
-  switch (reply.kind) {
-    case 'local':
-      return 'local';
-    case 'refused':
-      return `refused: ${reply.refusal.kind}`;
-    case 'member':
-      return reply.answer.outcome.kind === 'done'
-        ? reply.answer.outcome.signature
-        : reply.answer.outcome.error.code;
-  }
-}
-
 const CONFIGURATION: RuntimeConfiguration = {
   version: 1,
   routes: new Map([
@@ -305,21 +253,32 @@
   );
 
   // Guards against a request that waits for a connection as its VM exits, and is
-  // cut off without an answer; and against one that then runs outside its
-  // transaction.
-  it.each<[string, CallerStatement[], CallerStatement[]]>([
-    ['waits for a connection', [], [READ]],
-    ['belongs to a transaction', [BEGIN, WRITE], [WRITE, COMMIT]],
-  ])('answers a request that %s as its VM exits', async (unused, ...steps) => {
+  // cut off without an answer.
+  it('answers a request that waits as its VM exits', async () => {
     const {fake, caller, session, open, run} = start(CONNECTION_LIMIT);
-    const [before, during] = steps;
     open();
-    await run(...before);
-    if (before.length === 0) await fake.checkOutPrimary();
-    const answered = run(...during);
+    await settle();
+    await fake.checkOutPrimary();
+    const waiting = run(READ);
+    await sleep(SETTLE_MS / 4);
     fake.close();
     session.tell({kind: 'close'});
-    await answered;
+    await waiting;
+    expect({
+      caller: caller.seen,
+      primary: fake.member('a').requests,
+    }).toMatchSnapshot();
+  });
+
+  // Guards against a statement that runs outside its transaction, because the VM
+  // exits before it.
+  it('fails the rest of a transaction as its VM exits', async () => {
+    const {fake, caller, session, open, run} = start();
+    open();
+    await run(BEGIN, WRITE);
+    fake.close();
+    session.tell({kind: 'close'});
+    await run(WRITE, COMMIT);
     expect({
       caller: caller.seen,
       primary: fake.member('a').requests,
@@ -353,6 +312,28 @@
     expect(caller.seen).toMatchSnapshot();
   });
 
+  // Guards against no answer, or two, after an error in an open transaction.
+  it.each<[string, CallerStatement]>([
+    ['write', WRITE],
+    ['commit', COMMIT],
+    ['rollback', ROLLBACK],
+  ])('answers a %s that fails unexpectedly once', async (unused, statement) => {
+    const {fake, caller, open, run} = start();
+    open();
+    await run(BEGIN, WRITE);
+    const tell = fake.task.tell.bind(fake.task);
+    fake.task.tell = message => {
+      if (['confirm', 'return'].includes(message.kind)) {
+        throw new Error('unexpected');
+      }
+      tell(message);
+    };
+    const before = caller.seen.length;
+    await run(statement);
+    Reflect.deleteProperty(fake.task, 'tell');
+    expect(caller.seen.slice(before)).toMatchSnapshot();
+  });
+
   // Guards against a transaction that stays open after its caller disconnected.
   it('rolls back if the caller disconnects', async () => {
     const {fake, session, open, run} = start();
