Take the store of the soak back to a copy

The soak had no fault in which the store goes back to an earlier copy. The kind store-restored withdraws a key, makes the store unavailable 2 s later for 1 s and takes it back to the rows of before; the operators and the members write again after 1 s. It has a stream of random numbers of its own, so that a seed keeps its other faults.

--- a/soak/src/faults/fault_injector.ts
+++ b/soak/src/faults/fault_injector.ts
@@ -5,6 +5,7 @@
   ProxyMode,
   StoreFaultMode,
 } from '@pistachiorill/platform/standins';
+import {sleep} from '@pistachiorill/tasks';
 import type {VmProcess} from '../vm_process.js';
 import type {Fault, FaultKind} from './fault_plan.js';
 
@@ -15,6 +16,11 @@
 const CONFIGURATION_GAP_MS = 150;
 /** How old the state is that a store without history starts to answer from. */
 const STALE_READ_AGE_MS = 1_000;
+/** How old the copy is to which the store goes back, and how long it is away. */
+const COPY_AGE_MS = 2_000;
+const STORE_AWAY_MS = 1_000;
+/** When the operators and members write again what the store lost. */
+const REWRITE_MS = 1_000;
 
 /** Ends a fault. */
 type Undo = () => void | Promise<void>;
@@ -33,6 +39,7 @@
   'connections-reset',
   'store-connections-silent',
   'store-behind',
+  'store-restored',
 ]);
 
 /** Injects faults into running processes and stand-ins from the outside. */
@@ -110,6 +117,8 @@
         return () => undefined;
       case 'store-behind':
         return this.loseHistory(target);
+      case 'store-restored':
+        return this.restoreStore(target);
       case 'orders-lose-answers':
         this.standins.orders.faultMode = 'loses-answers';
         return () => {
@@ -166,6 +175,19 @@
     };
   }
 
+  /** Takes the store back to a copy from before a key was withdrawn. */
+  private async restoreStore(target: number): Promise<Undo> {
+    const {operators, table} = this.standins;
+    const copy = table.copy();
+    operators.withdraw(pick(WORKSPACES, target));
+    await sleep(COPY_AGE_MS);
+    const endAbsence = this.setStoreFaultMode('unavailable');
+    await sleep(STORE_AWAY_MS);
+    this.standins.restoreStore(copy, REWRITE_MS);
+    await endAbsence();
+    return () => sleep(REWRITE_MS);
+  }
+
   private takeDown(name: string, how: 'dark' | 'crashed'): Undo {
     this.standins.failMember(name, how);
     return () => this.standins.recoverMember(name);
--- a/soak/src/faults/fault_plan.ts
+++ b/soak/src/faults/fault_plan.ts
@@ -25,9 +25,14 @@
 ] as const;
 /** Kinds that were added later; see `planFaults`. */
 const LATER_KINDS = ['store-connections-silent', 'store-behind'] as const;
+const RESTORE_KINDS = ['store-restored'] as const;
 
 /** The kinds of faults that a soak run injects from outside the processes. */
-export const FAULT_KINDS = [...FIRST_KINDS, ...LATER_KINDS] as const;
+export const FAULT_KINDS = [
+  ...FIRST_KINDS,
+  ...LATER_KINDS,
+  ...RESTORE_KINDS,
+] as const;
 
 /** A kind of fault, which `FaultInjector` implements. */
 export type FaultKind = (typeof FAULT_KINDS)[number];
@@ -60,8 +65,10 @@
 const FAULT_FREE_END_MS = 4_000;
 const FIRST_KINDS_GAP_MS = 900;
 const LATER_KINDS_GAP_MS = 3_000;
-/** Separates the second stream of random numbers of a seed from the first. */
+const RESTORE_KINDS_GAP_MS = 9_000;
+/** Separate the further streams of random numbers of a seed from the first. */
 const LATER_KINDS_SEED = 1_000_003;
+const RESTORE_KINDS_SEED = 2_000_003;
 
 /**
  * Draws the faults of a run from its seed; consecutive faults can overlap. Later
@@ -69,6 +76,7 @@
  */
 export function planFaults(seed: number, lengthMs: number): readonly Fault[] {
   const later = new Random(seed + LATER_KINDS_SEED);
+  const restore = new Random(seed + RESTORE_KINDS_SEED);
   return [
     ...draw(
       new Random(seed),
@@ -77,6 +85,7 @@
       lengthMs,
     ),
     ...draw(later, LATER_KINDS, LATER_KINDS_GAP_MS, lengthMs),
+    ...draw(restore, RESTORE_KINDS, RESTORE_KINDS_GAP_MS, lengthMs),
   ].sort((a, b) => a.atMs - b.atMs);
 }
 
