Take the store of the soak back to a copy

Cause: the soak had no store that goes back to a copy.

Change: the kind 'store-restored' in a random stream of its own, drawn by the plan 'restored' beside planned work only, so that the other plans keep their faults; a short run of it in the tests.

--- a/soak/src/__tests__/soak.test.ts
+++ b/soak/src/__tests__/soak.test.ts
@@ -62,6 +62,12 @@
     expect(await violationsOf(3, size, 'all')).toEqual([]);
   });
 
+  // Guards against guarantees that break when the store goes back to a copy.
+  it('finds no violation in a short run with restores', async () => {
+    const size = {lengthMs: 9_000, vms: 3, callers: 4, holders: 6};
+    expect(await violationsOf(3, size, 'restored')).toEqual([]);
+  });
+
   // Guards against regressions that these seeds have found before.
   it.each(REGRESSION_SEEDS)('seed %i: %s', async seed => {
     const size = {lengthMs: 12_000, vms: 4, callers: 10, holders: 0};
--- a/soak/src/faults/__tests__/fault_plan.test.ts
+++ b/soak/src/faults/__tests__/fault_plan.test.ts
@@ -14,11 +14,21 @@
     expect(planFaults(7, 12_000, 'planned')).toMatchSnapshot();
   });
 
+  // Guards against runs with restores that a seed does not reproduce.
+  it('draws planned work and restores of the store', () => {
+    const restores = planFaults(7, 12_000, 'restored').filter(
+      ({kind}) => kind === 'store-restored',
+    );
+    expect(restores).toMatchSnapshot();
+  });
+
   // Guards against a fault kind that is never drawn.
   it('draws every kind within fifty seeds', () => {
     const seen = new Set<string>();
     for (let seed = 1; seed <= 50; seed++) {
-      for (const {kind} of planFaults(seed, 12_000, 'all')) seen.add(kind);
+      for (const plan of ['all', 'restored'] as const) {
+        for (const {kind} of planFaults(seed, 12_000, plan)) seen.add(kind);
+      }
     }
     expect([...seen].sort()).toEqual([...FAULT_KINDS].sort());
   });
--- a/soak/src/faults/fault_injector.ts
+++ b/soak/src/faults/fault_injector.ts
@@ -4,6 +4,7 @@
   ProxyMode,
   StoreFaultMode,
 } from '@pistachiorill/platform/standins';
+import {sleep} from '@pistachiorill/tasks';
 import type {VmProcess} from '../vm_process.js';
 import type {Fault, FaultKind} from './fault_plan.js';
 import type {FaultRecord} from './fault_record.js';
@@ -15,6 +16,11 @@
 const DRAIN_MS = 7_000;
 /** How old the state is that a store without history starts to answer from. */
 const STALE_READ_AGE_MS = 1_000;
+/** How old the copy is to which the store goes back, and how long it is away. */
+const COPY_AGE_MS = 2_000;
+const STORE_AWAY_MS = 1_000;
+/** When the operators and members write again what the store lost. */
+const REWRITE_MS = 1_000;
 
 /** Ends a fault. */
 type Undo = () => void | Promise<void>;
@@ -35,6 +41,7 @@
   'connections-reset',
   'store-connections-silent',
   'store-behind',
+  'store-restored',
 ]);
 /** Changes that operators make, which harm nothing. */
 const OPERATORS_KINDS: ReadonlySet<FaultKind> = new Set([
@@ -125,6 +132,8 @@
         return () => undefined;
       case 'store-behind':
         return this.loseHistory(target);
+      case 'store-restored':
+        return this.restoreStore(target);
       case 'orders-lose-answers':
         this.standins.orders.faultMode = 'loses-answers';
         return () => {
@@ -184,6 +193,18 @@
     };
   }
 
+  /** Takes the store back to a copy from before a key was withdrawn. */
+  private async restoreStore(target: number): Promise<Undo> {
+    const copy = this.standins.table.copy();
+    this.plannedWork.withdraw(target);
+    await sleep(COPY_AGE_MS);
+    const endAbsence = this.setStoreFaultMode('unavailable');
+    await sleep(STORE_AWAY_MS);
+    this.standins.restoreStore(copy, REWRITE_MS);
+    await endAbsence();
+    return () => sleep(REWRITE_MS);
+  }
+
   private takeDown(name: string, how: 'dark' | 'crashed'): Undo {
     this.standins.failMember(name, how);
     return () => this.standins.recoverMember(name);
--- a/soak/src/faults/fault_plan.ts
+++ b/soak/src/faults/fault_plan.ts
@@ -37,12 +37,14 @@
 ] as const;
 /** A kind of planned work. */
 export type PlannedKind = (typeof PLANNED_KINDS)[number];
+const RESTORE_KINDS = ['store-restored'] as const;
 
 /** The kinds of faults that a soak run injects from outside the processes. */
 export const FAULT_KINDS = [
   ...FIRST_KINDS,
   ...LATER_KINDS,
   ...PLANNED_KINDS,
+  ...RESTORE_KINDS,
 ] as const;
 
 /** A kind of fault, which `FaultInjector` implements. */
@@ -78,16 +80,18 @@
 const LATER_KINDS_GAP_MS = 3_000;
 /** Shorter than a drain, so that planned work overlaps. */
 const PLANNED_KINDS_GAP_MS = 1_200;
+const RESTORE_KINDS_GAP_MS = 9_000;
 /** Separate the later streams of random numbers of a seed from the first. */
 const LATER_KINDS_SEED = 1_000_003;
 const PLANNED_KINDS_SEED = 2_000_003;
+const RESTORE_KINDS_SEED = 4_000_037;
 
 /**
- * Which faults a run has: all kinds, which overlap, those without the series of
- * planned work, or planned work only. No request may be lost around planned work
- * alone.
+ * Which faults a run has: all kinds, which overlap, but for restores of the
+ * store; those without the series of planned work; planned work only, around
+ * which no request may be lost; or planned work and restores of the store.
  */
-export const PLANS = ['all', 'faults', 'planned'] as const;
+export const PLANS = ['all', 'faults', 'planned', 'restored'] as const;
 /** Which faults a run has. */
 export type Plan = (typeof PLANS)[number];
 
@@ -120,9 +124,16 @@
     PLANNED_KINDS_GAP_MS,
     lengthMs,
   );
+  const restores = draw(
+    new Random(seed + RESTORE_KINDS_SEED),
+    RESTORE_KINDS,
+    RESTORE_KINDS_GAP_MS,
+    lengthMs,
+  );
   return [
-    ...(plan === 'planned' ? [] : faults),
+    ...(plan === 'all' || plan === 'faults' ? faults : []),
     ...(plan === 'faults' ? [] : plannedWork),
+    ...(plan === 'restored' ? restores : []),
   ].sort((a, b) => a.atMs - b.atMs);
 }
 
--- a/soak/src/main.ts
+++ b/soak/src/main.ts
@@ -18,6 +18,7 @@
     --plan     all: planned work and other faults, which overlap (default)
                faults: faults without the series of planned work
                planned: planned work only, around which no request may be lost
+               restored: planned work, and a store that goes back to a copy
     --size     usual: 4 VMs, 10 callers and 10 holders (default)
                large: 40 VMs, 60 callers and 60 holders
     --vms      gateway processes
