--- a/packages/gateway/src/session/session_transaction.ts
+++ b/packages/gateway/src/session/session_transaction.ts
@@ -11,7 +11,7 @@
   | {readonly kind: 'open'; readonly transaction: OpenTransaction}
   | {readonly kind: 'failed'};
 
-/** The state that a caller is told with each reply. */
+/** The state that each reply reports to the caller. */
 export function reportedState({kind}: SessionTransaction): TransactionState {
   return kind === 'begun' ? 'open' : kind;
 }
--- a/soak/src/clients/caller_pace.ts
+++ b/soak/src/clients/caller_pace.ts
@@ -91,7 +91,7 @@
   }
 }
 
-/** The paces of callers that hold their sessions, which they take in turn. */
+/** The paces of callers that hold their sessions, assigned in rotation. */
 export const HOLDING_PACES: readonly CallerPace[] = [
   new IdlePace(),
   new TransactionPace(),
--- a/soak/src/vm_process.ts
+++ b/soak/src/vm_process.ts
@@ -67,8 +67,8 @@
 
   /**
    * Starts the process unless it runs: faults that overlap may both start it.
-   * Its output is appended to the log of the VM. A process that ends without
-   * being told to is started again.
+   * Its output is appended to the log of the VM. A process that ends by itself
+   * is started again.
    */
   start(): void {
     if (this.runningChild()) return;
