--- a/packages/core/src/restore/store_version.ts
+++ b/packages/core/src/restore/store_version.ts
@@ -6,7 +6,7 @@
 
 /**
  * Counters stay below this step. It exceeds a counter that starts at a time in
- * milliseconds, and leaves room for 2,047 eras in a safe integer.
+ * milliseconds, and leaves room for the eras 0 to 2,046 in a safe integer.
  */
 const ERA_STEP = 2 ** 42;
 /** The highest era that a version can hold; later ones count as this one. */
--- a/packages/gateway/src/fleet/fleet_view.ts
+++ b/packages/gateway/src/fleet/fleet_view.ts
@@ -90,7 +90,8 @@
 /**
  * Returns this VM's primary lease for a group at the given time. A record that
  * nobody has written in the present era is only proven by what was read in the
- * era before: the copy may lack that the primary is being replaced.
+ * last era in which it was confirmed: the copy may lack that the primary is being
+ * replaced.
  */
 export function primaryLeaseOf(
   view: FleetView,
