Ask callers to close in place of ending their connections

What callers saw: a request that was sent while its VM ended the session (a drain, a withdrawn key, the exit) got no answer.

Cause: the VM ended the connection at a moment that only it knew. Between the last poll of the sockets and the end of the connection lies the rest of a turn of the event loop.

Change: the VM refuses in advance. It sends one refusal (`requestClose`), reads on, and lets the caller close. A request that crosses gets the rest of that refusal (`completeRefusal`), so that it has a whole and true answer, and its caller is asked again. A caller whose session is not open yet is rejected. An unexpected error of a session ends it in the same way, once. Replies that find their connection ended are logged and counted (statement.undelivered). `SessionTask` is split: `SessionClosing`, `StatementReplies`, `runFirstStatement`.

--- a/packages/gateway/src/ports/caller_link.ts
+++ b/packages/gateway/src/ports/caller_link.ts
@@ -94,19 +94,26 @@
   abstract reject(refusal: SessionRefusal): void;
   /**
    * Replies to a statement. `position` is the log position that the member
-   * reported, if it ran there.
+   * reported, if it ran there. `not-sent` if the connection has ended.
    */
   abstract reply(
     reply: SessionReply,
     transaction: TransactionState,
     position: LogPosition | undefined,
-  ): void;
+  ): 'sent' | 'not-sent';
   /**
    * Resolves once the requests that have arrived by now are passed on as events.
    * They can be in a buffer of the operating system for as long as this process
    * is busy.
    */
   abstract receivePending(): Promise<void>;
+  /**
+   * Asks the caller to close the connection, with a refusal that also answers a
+   * request which the caller is sending meanwhile.
+   */
+  abstract requestClose(refusal: SessionRefusal): void;
+  /** Completes the answer of `requestClose` for a request that crossed it. */
+  abstract completeRefusal(): void;
   /** Closes the connection after pending replies are delivered. */
   abstract close(): void;
 }
--- a/packages/gateway/src/session/__tests__/session_task.test.ts
+++ b/packages/gateway/src/session/__tests__/session_task.test.ts
@@ -85,6 +85,8 @@
     }
     await settle();
   };
+  caller.onCloseRequested = () =>
+    session.tell({kind: 'event', event: {kind: 'ended'}, receivedAt: clock()});
   return {fake, caller, session, state, open, run};
 }
 
@@ -252,6 +254,54 @@
     },
   );
 
+  // Guards against a request that is cut off without an answer, because it was on
+  // its way when its session ended, and against one that then runs.
+  it.each(['reconfigured', 'drain', 'close'] as const)(
+    'answers a request that crosses the end of its session: %s',
+    async kind => {
+      const {fake, caller, session, state, open, run} = start();
+      open();
+      await settle();
+      caller.onCloseRequested = () => undefined;
+      if (kind === 'reconfigured') {
+        state.configuration = {...CONFIGURATION, keys: new Map()};
+      }
+      session.tell({kind});
+      await settle();
+      await run(BEGIN);
+      await run(WRITE);
+      expect({
+        caller: caller.seen,
+        primary: fake.member('a').requests,
+      }).toMatchSnapshot();
+    },
+  );
+
+  // Guards against a caller that keeps a VM from exiting, or its connection after
+  // its key was withdrawn.
+  it('disconnects a caller that does not close', async () => {
+    const {caller, session, open} = start();
+    open();
+    await settle();
+    caller.onCloseRequested = () => undefined;
+    session.tell({kind: 'drain'});
+    await settle();
+    session.tell({kind: 'close'});
+    await settle();
+    expect(caller.seen).toMatchSnapshot();
+  });
+
+  // Guards against a caller that waits for a session which a VM that stops will
+  // not serve.
+  it('rejects a caller that has not opened its session yet', async () => {
+    const {caller, session, open} = start();
+    session.tell({kind: 'drain'});
+    await settle();
+    open();
+    await settle();
+    expect(caller.seen).toMatchSnapshot();
+  });
+
   // Guards against a request that waits for a connection as its VM exits, and is
   // cut off without an answer.
   it('answers a request that waits as its VM exits', async () => {
--- a/packages/gateway/src/session/session_records.ts
+++ b/packages/gateway/src/session/session_records.ts
@@ -50,3 +50,16 @@
     'statement arrived after its session was closed',
   );
 }
+
+/** Counts and logs a reply that could not be sent, as the connection ended. */
+export function recordUndelivered(
+  {log, metrics}: RecordingDependencies,
+  request: string,
+  database: string,
+): void {
+  metrics.undelivered();
+  log.info(
+    {event: 'statement.undelivered', request, database},
+    'the connection ended before the reply',
+  );
+}
--- a/packages/gateway/src/session/session_task.ts
+++ b/packages/gateway/src/session/session_task.ts
@@ -1,4 +1,4 @@
-import {fail, ok} from '@pistachiorill/core';
+import {ok} from '@pistachiorill/core';
 import type {
   LogPosition,
   PreparedStatement,
@@ -14,33 +14,41 @@
   SessionReply,
 } from '../ports/caller_link.js';
 import type {MemberAnswer, MemberCommand} from '../ports/member_link.js';
+import {busyRefusal} from './conclude_fault.js';
+import {runFirstStatement} from './first_statement.js';
 import {IdleTimer} from './idle_timer.js';
-import {OpenTransaction} from './open_transaction.js';
 import {resolveCaller} from './route_filter.js';
 import type {SessionMessage, SessionDependencies} from './session_message.js';
+import {SessionClosing} from './session_closing.js';
 import {SessionSettings} from './session_settings.js';
 import {
   recordAfterClose,
   recordSessionRefusal,
   recordStatementRefusal,
 } from './session_records.js';
-import {replyAfterFailure, reportedState} from './session_transaction.js';
+import {replyAfterFailure} from './session_transaction.js';
 import type {SessionTransaction} from './session_transaction.js';
+import {StatementReplies} from './statement_replies.js';
 
 const LOCAL_REPLY: SessionReply = {kind: 'local'};
+const VM_STOPS = busyRefusal('this VM stops', 0);
+const SESSION_FAILED = busyRefusal('the session failed', 0);
+const UNEXPECTED_ERROR: SessionRefusal = {
+  kind: 'unknown-outcome',
+  detail: 'internal error',
+};
 
 /** Owns a caller's session: values, prepared statements and transaction. */
 export class SessionTask extends Task<SessionMessage> {
   private database = '';
   private key = '';
-  /** `draining` closes once no transaction is open, `closing` does not wait. */
-  private phase: 'new' | 'open' | 'draining' | 'closing' | 'closed' = 'new';
+  private phase: 'new' | 'open' | 'closed' = 'new';
+  private readonly closing: SessionClosing;
   private readonly settings = new SessionSettings();
   private transaction: SessionTransaction = {kind: 'none'};
   /** The log position of the session's last commit. */
   private seen: LogPosition | undefined;
-  /** Whether the statement that is handled has got its answer. */
-  private isAnswered = false;
+  private readonly replies: StatementReplies;
   private readonly idleTimer = new IdleTimer(() =>
     this.tell({kind: 'transaction-idle'}),
   );
@@ -51,6 +59,13 @@
     private readonly onEnded: () => void,
   ) {
     super();
+    this.closing = new SessionClosing(link, () => this.tell({kind: 'close'}));
+    this.replies = new StatementReplies(
+      link,
+      deps,
+      () => this.database,
+      () => this.transaction,
+    );
   }
 
   protected override async handle(message: SessionMessage): Promise<void> {
@@ -71,11 +86,10 @@
         await this.handleReconfiguration();
         return;
       case 'drain':
-        if (this.phase !== 'closing') this.phase = 'draining';
+        this.closing.drain(VM_STOPS);
         return;
       case 'close':
-        this.phase = 'closing';
-        await this.failTransaction();
+        await this.close();
         return;
       case 'abort-transaction':
       case 'transaction-idle':
@@ -86,8 +100,13 @@
 
   protected override onFailure(err: unknown): void {
     this.deps.log.error({event: 'session.failed', err}, 'session failed');
-    this.link.close();
-    this.end();
+    if (this.closing.isStarted) {
+      this.link.close();
+      this.end();
+      return;
+    }
+    this.closing.close(SESSION_FAILED);
+    this.tell({kind: 'close'});
   }
 
   private async event(event: CallerEvent, receivedAt: number): Promise<void> {
@@ -102,15 +121,19 @@
         this.open(event.database, event.key);
         return;
       case 'statement':
+        if (this.closing.isRequested) return this.refuseCrossing(event.id);
         this.idleTimer.stop();
         await this.answerStatement(event, receivedAt);
         this.startTransactionTimeout();
         return;
       case 'malformed':
-        this.refuse(event.id, {kind: 'malformed', detail: event.detail});
+        if (this.closing.isRequested) return this.refuseCrossing(event.id);
+        this.replies.start(event.id);
+        this.replies.refuse({kind: 'malformed', detail: event.detail});
         return;
       case 'too-large':
-        this.refuse('', {kind: 'too-large', detail: 'message over 1 MiB'});
+        this.replies.start('');
+        this.replies.refuse({kind: 'too-large', detail: 'message over 1 MiB'});
         await this.ended();
         return;
       case 'ended':
@@ -129,7 +152,7 @@
     }
     this.database = database;
     this.key = key;
-    if (this.phase === 'new') this.phase = 'open';
+    this.phase = 'open';
     this.link.accept();
   }
 
@@ -138,18 +161,18 @@
     {id, statement}: Extract<CallerEvent, {kind: 'statement'}>,
     receivedAt: number,
   ): Promise<void> {
-    this.isAnswered = false;
+    this.replies.start(id);
     try {
       await this.statement(id, statement, receivedAt);
     } catch (err) {
       // The caller would take a second answer for that of its next request.
-      if (this.isAnswered) throw err;
+      if (this.replies.isAnswered) throw err;
       this.deps.log.error({event: 'session.failed', err}, 'session failed');
       const {transaction} = this;
       const isEnded =
         transaction.kind === 'none' || statement.kind === 'commit';
       this.transaction = {kind: isEnded ? 'none' : 'failed'};
-      this.refuse(id, {kind: 'unknown-outcome', detail: 'internal error'});
+      this.replies.refuse(UNEXPECTED_ERROR);
       if (transaction.kind === 'open') transaction.transaction.abandon();
     }
   }
@@ -167,7 +190,7 @@
       case 'set':
       case 'prepare':
       case 'deallocate':
-        this.answer(id, this.settings.apply(statement));
+        this.replies.send(this.settings.apply(statement));
         return;
       case 'begin':
         this.begin(id, statement.access);
@@ -197,23 +220,23 @@
   ): void {
     const {reply, transaction} = replyAfterFailure(statement);
     if (transaction === 'ended') this.transaction = {kind: 'none'};
-    this.answer(id, reply);
+    this.replies.send(reply);
   }
 
   private begin(id: string, access: StatementAccess): void {
     if (this.transaction.kind !== 'none') {
       const detail = 'a transaction is open';
-      this.refuse(id, {kind: 'malformed', detail});
+      this.replies.refuse({kind: 'malformed', detail});
       return;
     }
     this.transaction = {kind: 'begun', access};
-    this.reply(LOCAL_REPLY);
+    this.replies.send(LOCAL_REPLY);
   }
 
   private async rollback(): Promise<void> {
     const {transaction} = this;
     this.transaction = {kind: 'none'};
-    this.reply(LOCAL_REPLY);
+    this.replies.send(LOCAL_REPLY);
     if (transaction.kind !== 'open') return;
     await transaction.transaction.rollback(this.settings.values);
   }
@@ -225,7 +248,7 @@
   ): Promise<void> {
     const prepared = this.settings.prepared(name);
     if (!prepared) {
-      this.refuse(id, {kind: 'unknown-statement', detail: name});
+      this.replies.refuse({kind: 'unknown-statement', detail: name});
       return;
     }
     const command: MemberCommand = {kind: 'execute', name, parameters};
@@ -241,7 +264,10 @@
   ): Promise<void> {
     const {transaction} = this;
     if (access === 'commit' && transaction.kind === 'none') {
-      this.refuse(id, {kind: 'malformed', detail: 'no transaction is open'});
+      this.replies.refuse({
+        kind: 'malformed',
+        detail: 'no transaction is open',
+      });
       return;
     }
     const result =
@@ -258,7 +284,7 @@
     if (!result.ok) {
       const inTransaction = transaction.kind !== 'none' && access !== 'commit';
       this.transaction = {kind: inTransaction ? 'failed' : 'none'};
-      this.refuse(id, result.err);
+      this.replies.refuse(result.err);
       return;
     }
     const answer = result.value;
@@ -268,7 +294,7 @@
       isCommit || (access === 'write' && transaction.kind === 'none');
     if (hasCommitted && answer.applied) this.seen = answer.applied;
     this.deps.metrics.answered(access, this.deps.clock() - receivedAt);
-    this.reply({kind: 'member', answer}, answer.applied);
+    this.replies.send({kind: 'member', answer}, answer.applied);
   }
 
   /** Runs a single statement, or the first one of a transaction. */
@@ -280,8 +306,7 @@
     receivedAt: number,
   ): Promise<Result<MemberAnswer, SessionRefusal>> {
     const {transaction} = this;
-    const begin = transaction.kind === 'begun' ? transaction.access : undefined;
-    const admitted = await this.deps.admit.run({
+    const result = await runFirstStatement(this.deps, {
       id,
       database: this.database,
       key: this.key,
@@ -289,59 +314,17 @@
       command,
       access,
       prepared,
-      begin,
+      begin: transaction.kind === 'begun' ? transaction.access : undefined,
       values: new Map(this.settings.values),
       seen: this.seen,
       configuration: this.deps.configuration(),
     });
-    if (!admitted.ok) return admitted;
-    const placed = await this.deps.place.run(admitted.value);
-    if (!placed.ok) {
-      const {workspace, caller} = admitted.value;
-      if (placed.err.kind === 'busy' && caller === 'keyed') {
-        this.deps.refundToken(workspace);
-      }
-      return placed;
-    }
-    const {checkout, answer} = placed.value;
-    const {group, statementTimeoutMs} = admitted.value.route;
-    const database = this.deps.database(group);
-    if (begin === undefined) return ok(answer);
-    if (!database) {
-      checkout.connection.tell({kind: 'close'});
-      return fail({kind: 'aborted', detail: 'the group is no longer served'});
-    }
-    if (access === 'commit') {
-      database.tell({kind: 'return', checkout});
-      return ok(answer);
-    }
-    this.transaction = {
-      kind: 'open',
-      transaction: new OpenTransaction(
-        statementTimeoutMs,
-        checkout,
-        database,
-        this.deps.clock,
-      ),
-    };
+    if (!result.ok) return result;
+    const {answer, transaction: opened} = result.value;
+    if (opened) this.transaction = {kind: 'open', transaction: opened};
     return ok(answer);
   }
 
-  private answer(id: string, reply: SessionReply): void {
-    if (reply.kind === 'refused') this.refuse(id, reply.refusal);
-    else this.reply(reply);
-  }
-
-  private reply(reply: SessionReply, position?: LogPosition): void {
-    this.isAnswered = true;
-    this.link.reply(reply, reportedState(this.transaction), position);
-  }
-
-  private refuse(id: string, refusal: SessionRefusal): void {
-    recordStatementRefusal(this.deps, id, this.database, refusal);
-    this.reply({kind: 'refused', refusal});
-  }
-
   /** Fails the transaction and ends the session if access was withdrawn. */
   private async handleReconfiguration(): Promise<void> {
     if (this.phase === 'new') return;
@@ -349,7 +332,7 @@
     const found = resolveCaller(configuration, this.database, this.key);
     if (found.ok) return;
     await this.failTransaction();
-    if (this.phase === 'open') this.phase = 'draining';
+    this.closing.drain(found.err);
   }
 
   private async failTransaction(): Promise<void> {
@@ -366,16 +349,37 @@
     this.idleTimer.start(this.deps.configuration()?.transactionIdleMs ?? 0);
   }
 
-  /** Closes a session that ends, once requests that arrived are answered. */
+  /** Asks the caller to close, or ends a session whose caller did not. */
+  private async close(): Promise<void> {
+    if (this.closing.isRequested) {
+      this.link.close();
+      this.end();
+      return;
+    }
+    this.closing.close(VM_STOPS);
+    // Requests in the mailbox belong to the transaction that is given up.
+    await this.failTransaction();
+  }
+
+  /** Asks the caller to close once requests that arrived are answered. */
   private async closeIfIdle(): Promise<void> {
-    const mayClose =
-      this.phase === 'closing' ||
-      (this.phase === 'draining' && this.transaction.kind === 'none');
-    if (!mayClose || this.backlog > 0) return;
+    if (!this.closing.isDue(this.transaction) || this.backlog > 0) return;
+    await this.failTransaction();
     await this.link.receivePending();
     if (this.backlog > 0) return;
-    this.link.close();
-    this.end();
+    if (this.phase === 'new') {
+      this.link.reject(VM_STOPS);
+      this.end();
+      return;
+    }
+    this.transaction = {kind: 'none'};
+    this.closing.requestClose();
+  }
+
+  /** Refuses a request that the caller sent before it was asked to close. */
+  private refuseCrossing(id: string): void {
+    const refusal = this.closing.refuseCrossing();
+    recordStatementRefusal(this.deps, id, this.database, refusal);
   }
 
   /** Ends the session and rolls back an open transaction. */
@@ -391,6 +395,7 @@
   private end(): void {
     if (this.phase === 'closed') return;
     this.phase = 'closed';
+    this.closing.stop();
     this.idleTimer.stop();
     this.onEnded();
   }
--- a/packages/gateway/src/telemetry/gateway_metrics.ts
+++ b/packages/gateway/src/telemetry/gateway_metrics.ts
@@ -27,6 +27,12 @@
     registers: [this.registry],
   });
 
+  private readonly undeliveredReplies = new Counter({
+    name: 'pistachiorill_gateway_undelivered_replies_total',
+    help: 'Replies that were not sent, as the connection had ended.',
+    registers: [this.registry],
+  });
+
   private readonly changes = new Counter({
     name: 'pistachiorill_gateway_primary_changes_total',
     help: 'Changes of primary that this VM carried out, by outcome.',
@@ -78,6 +84,11 @@
     this.unansweredStatements.inc();
   }
 
+  /** Counts a reply whose connection ended before it. */
+  undelivered(): void {
+    this.undeliveredReplies.inc();
+  }
+
   /** Counts a primary change that this VM carried out. */
   primaryChanged(outcome: string): void {
     this.changes.inc({outcome});
--- a/packages/gateway/src/testing/fake_caller.ts
+++ b/packages/gateway/src/testing/fake_caller.ts
@@ -8,6 +8,8 @@
   readonly seen: string[] = [];
   /** Delivers requests that arrived and were not read yet. */
   pending: () => void = () => undefined;
+  /** What the caller does when it is asked to close. */
+  onCloseRequested: () => void = () => undefined;
   private open = true;
 
   override get isOpen(): boolean {
@@ -22,14 +24,27 @@
     this.seen.push(`rejected: ${kind}`);
   }
 
-  override reply(reply: SessionReply, transaction: TransactionState): void {
+  override reply(
+    reply: SessionReply,
+    transaction: TransactionState,
+  ): 'sent' | 'not-sent' {
     this.seen.push(`${describeReply(reply)}, transaction ${transaction}`);
+    return this.open ? 'sent' : 'not-sent';
   }
 
   override async receivePending(): Promise<void> {
     this.pending();
   }
 
+  override requestClose({kind}: SessionRefusal): void {
+    this.seen.push(`asked to close: ${kind}`);
+    this.onCloseRequested();
+  }
+
+  override completeRefusal(): void {
+    this.seen.push('refusal completed');
+  }
+
   override close(): void {
     if (this.open) this.seen.push('closed');
     this.open = false;
