Exit only after callers have ended their connections

What callers saw: an answer could be lost although the VM had sent it. The exit waited until all was handed to the operating system. Closing a socket with unread bytes (a request that crossed the end, a TERMINATE) resets the connection, and what the caller has not received yet is dropped with it.

Change: `LineCallerServer.close` resolves once both sides of each connection have ended. The grace period still bounds the exit.

--- a/packages/gateway/src/daemon/graceful_stop.ts
+++ b/packages/gateway/src/daemon/graceful_stop.ts
@@ -41,7 +41,7 @@
   log.info({event: 'gateway.draining', graceMs}, 'gateway is draining');
   await sleep(Math.min(BALANCER_REROUTE_MS, graceMs / 2));
   for (const session of sessions) session.tell({kind: 'drain'});
-  const answersSent = callers.close();
+  const callersEnded = callers.close();
   await waitForSessions(deps, startedAt + graceMs / 2);
   for (const session of sessions) session.tell({kind: 'abort-transaction'});
   await waitForSessions(deps, startedAt + graceMs - EXIT_RESERVE_MS);
@@ -51,7 +51,7 @@
   for (const session of sessions) session.tell({kind: 'close'});
   const exitBy = startedAt + graceMs - EXIT_MARGIN_MS;
   await Promise.all([
-    Promise.race([answersSent, sleep(Math.max(0, exitBy - clock()))]),
+    Promise.race([callersEnded, sleep(Math.max(0, exitBy - clock()))]),
     Promise.race([deps.leaveFleet(), sleep(LEAVE_TIMEOUT_MS)]),
   ]);
   log.info(
--- a/packages/gateway/src/ports/caller_link.ts
+++ b/packages/gateway/src/ports/caller_link.ts
@@ -129,8 +129,8 @@
     onCaller: (link: CallerLink) => CallerEventSink,
   ): Promise<void>;
   /**
-   * Stops accepting connections. Resolves once this side of those that are open
-   * has ended and everything written to them has been handed to the network.
+   * Stops accepting connections. Resolves once both sides of those that are open
+   * have ended, so that their callers have received all that was written.
    */
   abstract close(): Promise<void>;
 }
