Log that a stopping VM rejects a caller without a session

The rejection left no record, so that a caller's report could not be told from a connection that the listener never accepted. One method now records, rejects and ends. 44 tests of the folder pass.

--- a/packages/gateway/src/session/session_task.ts
+++ b/packages/gateway/src/session/session_task.ts
@@ -145,9 +145,7 @@
   private open(database: string, key: string): void {
     const found = resolveCaller(this.deps.configuration(), database, key);
     if (!found.ok) {
-      recordSessionRefusal(this.deps, database, found.err);
-      this.link.reject(found.err);
-      this.end();
+      this.reject(database, found.err);
       return;
     }
     this.database = database;
@@ -156,6 +154,12 @@
     this.link.accept();
   }
 
+  private reject(database: string, refusal: SessionRefusal): void {
+    recordSessionRefusal(this.deps, database, refusal);
+    this.link.reject(refusal);
+    this.end();
+  }
+
   /** Runs a statement; an unexpected error is answered, once, as well. */
   private async answerStatement(
     {id, statement}: Extract<CallerEvent, {kind: 'statement'}>,
@@ -368,8 +372,7 @@
     await this.link.receivePending();
     if (this.backlog > 0) return;
     if (this.phase === 'new') {
-      this.link.reject(VM_STOPS);
-      this.end();
+      this.reject('', VM_STOPS);
       return;
     }
     this.transaction = {kind: 'none'};
