Read what has arrived before a caller is disconnected

A caller that does not close when asked is disconnected after 5 s or at the exit. If the process did not run meanwhile, the timer came before its sockets were read, and a request that had arrived was cut. 'answers a request that arrives before its caller is disconnected' guards it (failed before: no 'refusal completed' and 'closed').

--- a/packages/gateway/src/session/__tests__/session_task.test.ts
+++ b/packages/gateway/src/session/__tests__/session_task.test.ts
@@ -291,6 +291,24 @@
     expect(caller.seen).toMatchSnapshot();
   });
 
+  // Guards against a request that is cut off without an answer, because it and
+  // the time limit of its caller passed while the process did not run.
+  it('answers a request that arrives before its caller is disconnected', async () => {
+    const {caller, session, open, run} = start();
+    open();
+    await settle();
+    caller.onCloseRequested = () => undefined;
+    session.tell({kind: 'drain'});
+    await settle();
+    caller.pending = () => {
+      caller.pending = () => undefined;
+      void run(READ);
+    };
+    session.tell({kind: 'close'});
+    await settle();
+    expect(caller.seen).toMatchSnapshot();
+  });
+
   // Guards against a caller that waits for a session which a VM that stops will
   // not serve.
   it('rejects a caller that has not opened its session yet', async () => {
--- a/packages/gateway/src/session/idle_timer.ts
+++ b/packages/gateway/src/session/idle_timer.ts
@@ -1,4 +1,4 @@
-/** Calls back once a transaction was idle for the given time. */
+/** Calls back once the given time has passed without a new start. */
 export class IdleTimer {
   private timer: NodeJS.Timeout | undefined;
 
--- a/packages/gateway/src/session/session_closing.ts
+++ b/packages/gateway/src/session/session_closing.ts
@@ -63,12 +63,11 @@
   }
 
   /**
-   * Completes the refusal of a request that crossed the request to close, and
-   * returns the reason. Its caller did not close and is to be asked again.
+   * Returns the refusal of a request that crossed the request to close. Its
+   * caller did not close and is to be asked again.
    */
-  refuseCrossing(): SessionRefusal {
+  requestCrossed(): SessionRefusal {
     this.request = 'none';
-    this.link.completeRefusal();
     return this.reason;
   }
 
--- a/packages/gateway/src/session/session_task.ts
+++ b/packages/gateway/src/session/session_task.ts
@@ -14,29 +14,24 @@
   SessionReply,
 } from '../ports/caller_link.js';
 import type {MemberAnswer, MemberCommand} from '../ports/member_link.js';
-import {busyRefusal} from './conclude_fault.js';
 import {runFirstStatement} from './first_statement.js';
 import {IdleTimer} from './idle_timer.js';
 import {resolveCaller} from './route_filter.js';
 import type {SessionMessage, SessionDependencies} from './session_message.js';
 import {SessionClosing} from './session_closing.js';
-import {SessionSettings} from './session_settings.js';
 import {
-  recordAfterClose,
-  recordSessionRefusal,
-  recordStatementRefusal,
-} from './session_records.js';
+  MESSAGE_TOO_LARGE,
+  SESSION_FAILED,
+  UNEXPECTED_ERROR,
+  VM_STOPS,
+} from './session_refusals.js';
+import {SessionSettings} from './session_settings.js';
+import {recordAfterClose, recordSessionRefusal} from './session_records.js';
 import {replyAfterFailure} from './session_transaction.js';
 import type {SessionTransaction} from './session_transaction.js';
 import {StatementReplies} from './statement_replies.js';
 
 const LOCAL_REPLY: SessionReply = {kind: 'local'};
-const VM_STOPS = busyRefusal('this VM stops', 0);
-const SESSION_FAILED = busyRefusal('the session failed', 0);
-const UNEXPECTED_ERROR: SessionRefusal = {
-  kind: 'unknown-outcome',
-  detail: 'internal error',
-};
 
 /** Owns a caller's session: values, prepared statements and transaction. */
 export class SessionTask extends Task<SessionMessage> {
@@ -100,13 +95,13 @@
 
   protected override onFailure(err: unknown): void {
     this.deps.log.error({event: 'session.failed', err}, 'session failed');
-    if (this.closing.isStarted) {
-      this.link.close();
-      this.end();
+    if (!this.closing.isStarted) {
+      this.closing.close(SESSION_FAILED);
+      this.tell({kind: 'close'});
       return;
     }
-    this.closing.close(SESSION_FAILED);
-    this.tell({kind: 'close'});
+    this.link.close();
+    this.end();
   }
 
   private async event(event: CallerEvent, receivedAt: number): Promise<void> {
@@ -116,24 +111,27 @@
       this.end();
       return;
     }
+    if (this.closing.isRequested && 'id' in event) {
+      const reason = this.closing.requestCrossed();
+      this.replies.completeRefusal(event.id, reason);
+      return;
+    }
     switch (event.kind) {
       case 'open':
         this.open(event.database, event.key);
         return;
       case 'statement':
-        if (this.closing.isRequested) return this.refuseCrossing(event.id);
         this.idleTimer.stop();
         await this.answerStatement(event, receivedAt);
         this.startTransactionTimeout();
         return;
       case 'malformed':
-        if (this.closing.isRequested) return this.refuseCrossing(event.id);
         this.replies.start(event.id);
         this.replies.refuse({kind: 'malformed', detail: event.detail});
         return;
       case 'too-large':
         this.replies.start('');
-        this.replies.refuse({kind: 'too-large', detail: 'message over 1 MiB'});
+        this.replies.refuse(MESSAGE_TOO_LARGE);
         await this.ended();
         return;
       case 'ended':
@@ -187,7 +185,7 @@
     receivedAt: number,
   ): Promise<void> {
     if (this.transaction.kind === 'failed') {
-      this.handleStatementAfterFailure(id, statement);
+      this.handleStatementAfterFailure(statement);
       return;
     }
     switch (statement.kind) {
@@ -197,7 +195,7 @@
         this.replies.send(this.settings.apply(statement));
         return;
       case 'begin':
-        this.begin(id, statement.access);
+        this.begin(statement.access);
         return;
       case 'rollback':
         await this.rollback();
@@ -218,16 +216,13 @@
   }
 
   /** Refuses statements until a rollback or commit ends the transaction. */
-  private handleStatementAfterFailure(
-    id: string,
-    statement: CallerStatement,
-  ): void {
+  private handleStatementAfterFailure(statement: CallerStatement): void {
     const {reply, transaction} = replyAfterFailure(statement);
     if (transaction === 'ended') this.transaction = {kind: 'none'};
     this.replies.send(reply);
   }
 
-  private begin(id: string, access: StatementAccess): void {
+  private begin(access: StatementAccess): void {
     if (this.transaction.kind !== 'none') {
       const detail = 'a transaction is open';
       this.replies.refuse({kind: 'malformed', detail});
@@ -268,10 +263,8 @@
   ): Promise<void> {
     const {transaction} = this;
     if (access === 'commit' && transaction.kind === 'none') {
-      this.replies.refuse({
-        kind: 'malformed',
-        detail: 'no transaction is open',
-      });
+      const detail = 'no transaction is open';
+      this.replies.refuse({kind: 'malformed', detail});
       return;
     }
     const result =
@@ -309,11 +302,11 @@
     prepared: PreparedStatement | undefined,
     receivedAt: number,
   ): Promise<Result<MemberAnswer, SessionRefusal>> {
-    const {transaction} = this;
+    const {transaction, database, key} = this;
     const result = await runFirstStatement(this.deps, {
       id,
-      database: this.database,
-      key: this.key,
+      database,
+      key,
       receivedAt,
       command,
       access,
@@ -332,8 +325,8 @@
   /** Fails the transaction and ends the session if access was withdrawn. */
   private async handleReconfiguration(): Promise<void> {
     if (this.phase === 'new') return;
-    const configuration = this.deps.configuration();
-    const found = resolveCaller(configuration, this.database, this.key);
+    const {database, key} = this;
+    const found = resolveCaller(this.deps.configuration(), database, key);
     if (found.ok) return;
     await this.failTransaction();
     this.closing.drain(found.err);
@@ -356,6 +349,9 @@
   /** Asks the caller to close, or ends a session whose caller did not. */
   private async close(): Promise<void> {
     if (this.closing.isRequested) {
+      // A request can have arrived while this process did not run.
+      await this.link.receivePending();
+      if (this.backlog > 0) return;
       this.link.close();
       this.end();
       return;
@@ -379,12 +375,6 @@
     this.closing.requestClose();
   }
 
-  /** Refuses a request that the caller sent before it was asked to close. */
-  private refuseCrossing(id: string): void {
-    const refusal = this.closing.refuseCrossing();
-    recordStatementRefusal(this.deps, id, this.database, refusal);
-  }
-
   /** Ends the session and rolls back an open transaction. */
   private async ended(): Promise<void> {
     const {transaction} = this;
--- a/packages/gateway/src/session/statement_replies.ts
+++ b/packages/gateway/src/session/statement_replies.ts
@@ -44,6 +44,12 @@
     recordUndelivered(deps, request, this.database());
   }
 
+  /** Completes the refusal of a request that crossed a request to close. */
+  completeRefusal(request: string, refusal: SessionRefusal): void {
+    recordStatementRefusal(this.deps, request, this.database(), refusal);
+    this.link.completeRefusal();
+  }
+
   /** Replies with a refusal. */
   refuse(refusal: SessionRefusal): void {
     this.send({kind: 'refused', refusal});
