Refuse all requests behind one that crossed, and disconnect at one time

The exit also cut a session that was asked just before it.

Change: after a request that crossed, all others are refused as a whole until the caller is asked again. The time limit runs once a session, 1 s. `disconnect` is a message of its own, 0.25 s after the last `close`; it answers what has arrived and ends the connection behind the last answer. A failure while a session ends gives up its transaction. A too large message behind the request to close gets one refusal.

The test with the real process no longer depends on when the VM asks again.

--- a/packages/gateway/src/daemon/graceful_stop.ts
+++ b/packages/gateway/src/daemon/graceful_stop.ts
@@ -11,6 +11,8 @@
 const IDLE_CHECK_MS = 50;
 /** The time limit for leaving the fleet. */
 const LEAVE_TIMEOUT_MS = 400;
+/** Callers that were asked to close at the end have this time to do so. */
+const LAST_CLOSE_MS = 250;
 /** The process exits this long before SIGKILL, even if answers are not sent. */
 const EXIT_MARGIN_MS = 300;
 
@@ -49,10 +51,13 @@
   // No primary lease may remain in use once this VM's row is removed.
   deps.closeDatabases();
   for (const session of sessions) session.tell({kind: 'close'});
+  const left = Promise.race([deps.leaveFleet(), sleep(LEAVE_TIMEOUT_MS)]);
+  await waitForSessions(deps, clock() + LAST_CLOSE_MS);
+  for (const session of sessions) session.tell({kind: 'disconnect'});
   const exitBy = startedAt + graceMs - EXIT_MARGIN_MS;
   await Promise.all([
     Promise.race([callersEnded, sleep(Math.max(0, exitBy - clock()))]),
-    Promise.race([deps.leaveFleet(), sleep(LEAVE_TIMEOUT_MS)]),
+    left,
   ]);
   log.info(
     {
--- a/packages/gateway/src/session/__tests__/session_task.test.ts
+++ b/packages/gateway/src/session/__tests__/session_task.test.ts
@@ -52,6 +52,7 @@
   const log = silentLogger();
   const state = {configuration: CONFIGURATION};
   const caller = new FakeCaller();
+  const metrics = new GatewayMetrics();
   const session = new SessionTask(
     caller,
     {
@@ -65,7 +66,7 @@
       refundToken: () => undefined,
       clock,
       log,
-      metrics: new GatewayMetrics(),
+      metrics,
     },
     () => caller.seen.push('ended'),
   );
@@ -87,7 +88,7 @@
   };
   caller.onCloseRequested = () =>
     session.tell({kind: 'event', event: {kind: 'ended'}, receivedAt: clock()});
-  return {fake, caller, session, state, open, run};
+  return {fake, caller, metrics, session, state, open, run};
 }
 
 function settle(): Promise<void> {
@@ -286,11 +287,55 @@
     caller.onCloseRequested = () => undefined;
     session.tell({kind: 'drain'});
     await settle();
-    session.tell({kind: 'close'});
+    // Whatever else is in the mailbox by then.
+    session.tell({kind: 'disconnect'});
+    session.tell({kind: 'reconfigured'});
     await settle();
     expect(caller.seen).toMatchSnapshot();
   });
 
+  // Guards against a write that runs outside its transaction, as its begin was
+  // refused.
+  it('refuses all requests that cross the end of their session', async () => {
+    const {fake, caller, session, open, run} = start();
+    open();
+    await settle();
+    caller.onCloseRequested = () => undefined;
+    session.tell({kind: 'drain'});
+    await settle();
+    await run(BEGIN, WRITE, COMMIT);
+    expect({
+      caller: caller.seen,
+      primary: fake.member('a').requests,
+    }).toMatchSnapshot();
+  });
+
+  // Guards against a transaction that stays open after its caller was asked to
+  // close.
+  it('rolls back a transaction that begins as its VM exits', async () => {
+    const {fake, caller, session, open, run} = start();
+    open();
+    await settle();
+    session.tell({kind: 'close'});
+    await run(BEGIN, WRITE);
+    expect({
+      caller: caller.seen,
+      primary: fake.member('a').requests,
+    }).toMatchSnapshot();
+  });
+
+  // Guards against replies to callers that have left which leave no record.
+  it('counts a reply that is not delivered', async () => {
+    const {caller, metrics, open, run} = start();
+    open();
+    await settle();
+    caller.close();
+    await run(READ);
+    const name = 'pistachiorill_gateway_undelivered_replies_total';
+    const metric = await metrics.registry.getSingleMetric(name)?.get();
+    expect(metric?.values[0]?.value).toBe(1);
+  });
+
   // Guards against a request that is cut off without an answer, because it and
   // the time limit of its caller passed while the process did not run.
   it('answers a request that arrives before its caller is disconnected', async () => {
@@ -304,7 +349,7 @@
       caller.pending = () => undefined;
       void run(READ);
     };
-    session.tell({kind: 'close'});
+    session.tell({kind: 'disconnect'});
     await settle();
     expect(caller.seen).toMatchSnapshot();
   });
--- a/packages/gateway/src/session/session_closing.ts
+++ b/packages/gateway/src/session/session_closing.ts
@@ -3,7 +3,23 @@
 import type {SessionTransaction} from './session_transaction.js';
 
 /** A caller that was asked to close is disconnected after this time. */
-const CALLER_CLOSE_TIMEOUT_MS = 5_000;
+const CALLER_CLOSE_TIMEOUT_MS = 1_000;
+
+/**
+ * How far a session is in ending. `draining` waits until no transaction is open,
+ * `closing` does not, and `disconnecting` no longer waits for the caller.
+ */
+type ClosingMode = 'none' | 'draining' | 'closing' | 'disconnecting';
+
+/** Whether the caller was asked to close, and sent a request nevertheless. */
+type CloseRequest = 'none' | 'made' | 'crossed';
+
+/** How a request of a caller that was asked to close is refused, and why. */
+export interface ClosingRefusal {
+  /** `complete` adds what the request to close lacks for a whole answer. */
+  readonly how: 'complete' | 'whole';
+  readonly reason: SessionRefusal;
+}
 
 /**
  * Ends a caller's session from this side. A request can be on its way at any
@@ -11,9 +27,8 @@
  * if the caller does not.
  */
 export class SessionClosing {
-  /** `draining` waits until no transaction is open, `closing` does not. */
-  private mode: 'none' | 'draining' | 'closing' = 'none';
-  private request: 'none' | 'made' = 'none';
+  private mode: ClosingMode = 'none';
+  private request: CloseRequest = 'none';
   private reason: SessionRefusal = {kind: 'busy', detail: 'the session ends'};
   private readonly timer: IdleTimer;
 
@@ -31,7 +46,12 @@
 
   /** Whether the caller has been asked to close. */
   get isRequested(): boolean {
-    return this.request === 'made';
+    return this.request !== 'none';
+  }
+
+  /** Whether this side ends the connection. */
+  get isDisconnecting(): boolean {
+    return this.mode === 'disconnecting';
   }
 
   /** Ends the session once no transaction is open. */
@@ -43,10 +63,16 @@
 
   /** Ends the session without waiting for its transaction. */
   close(reason: SessionRefusal): void {
+    if (this.mode === 'disconnecting') return;
     if (this.mode === 'none') this.reason = reason;
     this.mode = 'closing';
   }
 
+  /** Ends the session without waiting for its caller. */
+  disconnect(): void {
+    this.mode = 'disconnecting';
+  }
+
   /** Whether the caller is to be asked to close now. */
   isDue({kind}: SessionTransaction): boolean {
     if (this.request === 'made') return false;
@@ -55,20 +81,22 @@
     );
   }
 
-  /** Asks the caller to close. */
+  /** Asks the caller to close, and again after each request that crossed. */
   requestClose(): void {
+    if (this.request === 'none') this.timer.start(CALLER_CLOSE_TIMEOUT_MS);
     this.request = 'made';
     this.link.requestClose(this.reason);
-    this.timer.start(CALLER_CLOSE_TIMEOUT_MS);
   }
 
   /**
-   * Returns the refusal of a request that crossed the request to close. Its
-   * caller did not close and is to be asked again.
+   * Decides how a request of a caller that was asked to close is refused. The
+   * first one crossed the request to close, which is the first part of its
+   * refusal. Requests behind it are refused as well: they may rely on it.
    */
-  requestCrossed(): SessionRefusal {
-    this.request = 'none';
-    return this.reason;
+  refuse(): ClosingRefusal {
+    const how = this.request === 'made' ? 'complete' : 'whole';
+    this.request = 'crossed';
+    return {how, reason: this.reason};
   }
 
   /** The session has ended. */
--- a/packages/gateway/src/session/session_message.ts
+++ b/packages/gateway/src/session/session_message.ts
@@ -21,6 +21,8 @@
   | {readonly kind: 'drain'}
   /** The VM exits: the session closes once requests that arrived are answered. */
   | {readonly kind: 'close'}
+  /** The VM no longer waits for its caller to close. */
+  | {readonly kind: 'disconnect'}
   /** Rolls back an open transaction at once. */
   | {readonly kind: 'abort-transaction'}
   /** The open transaction exceeded its idle timeout. */
--- a/packages/gateway/src/session/session_task.ts
+++ b/packages/gateway/src/session/session_task.ts
@@ -54,7 +54,9 @@
     private readonly onEnded: () => void,
   ) {
     super();
-    this.closing = new SessionClosing(link, () => this.tell({kind: 'close'}));
+    this.closing = new SessionClosing(link, () =>
+      this.tell({kind: 'disconnect'}),
+    );
     this.replies = new StatementReplies(
       link,
       deps,
@@ -84,7 +86,14 @@
         this.closing.drain(VM_STOPS);
         return;
       case 'close':
-        await this.close();
+        this.closing.close(VM_STOPS);
+        // Requests in the mailbox belong to the transaction that is given up.
+        await this.failTransaction();
+        return;
+      case 'disconnect':
+        this.closing.disconnect();
+        // A request can have arrived while this process did not run.
+        await this.link.receivePending();
         return;
       case 'abort-transaction':
       case 'transaction-idle':
@@ -102,6 +111,8 @@
     }
     this.link.close();
     this.end();
+    if (this.transaction.kind === 'open')
+      {this.transaction.transaction.abandon();}
   }
 
   private async event(event: CallerEvent, receivedAt: number): Promise<void> {
@@ -111,9 +122,10 @@
       this.end();
       return;
     }
-    if (this.closing.isRequested && 'id' in event) {
-      const reason = this.closing.requestCrossed();
-      this.replies.completeRefusal(event.id, reason);
+    if (this.closing.isRequested && event.kind !== 'ended') {
+      const request = 'id' in event ? event.id : '';
+      this.replies.refuseWhileClosing(request, this.closing.refuse());
+      if (event.kind === 'too-large') await this.ended();
       return;
     }
     switch (event.kind) {
@@ -346,24 +358,17 @@
     this.idleTimer.start(this.deps.configuration()?.transactionIdleMs ?? 0);
   }
 
-  /** Asks the caller to close, or ends a session whose caller did not. */
-  private async close(): Promise<void> {
-    if (this.closing.isRequested) {
-      // A request can have arrived while this process did not run.
-      await this.link.receivePending();
-      if (this.backlog > 0) return;
-      this.link.close();
-      this.end();
+  /**
+   * Asks the caller to close once requests that arrived are answered, or ends the
+   * connection behind the last answer.
+   */
+  private async closeIfIdle(): Promise<void> {
+    if (this.backlog > 0 || this.phase === 'closed') return;
+    if (this.closing.isDisconnecting) {
+      await this.ended();
       return;
     }
-    this.closing.close(VM_STOPS);
-    // Requests in the mailbox belong to the transaction that is given up.
-    await this.failTransaction();
-  }
-
-  /** Asks the caller to close once requests that arrived are answered. */
-  private async closeIfIdle(): Promise<void> {
-    if (!this.closing.isDue(this.transaction) || this.backlog > 0) return;
+    if (!this.closing.isDue(this.transaction)) return;
     await this.failTransaction();
     await this.link.receivePending();
     if (this.backlog > 0) return;
--- a/packages/gateway/src/session/statement_replies.ts
+++ b/packages/gateway/src/session/statement_replies.ts
@@ -4,6 +4,7 @@
   SessionRefusal,
   SessionReply,
 } from '../ports/caller_link.js';
+import type {ClosingRefusal} from './session_closing.js';
 import type {SessionDependencies} from './session_message.js';
 import {recordStatementRefusal, recordUndelivered} from './session_records.js';
 import {reportedState} from './session_transaction.js';
@@ -44,9 +45,14 @@
     recordUndelivered(deps, request, this.database());
   }
 
-  /** Completes the refusal of a request that crossed a request to close. */
-  completeRefusal(request: string, refusal: SessionRefusal): void {
-    recordStatementRefusal(this.deps, request, this.database(), refusal);
+  /** Refuses a request of a caller that was asked to close. */
+  refuseWhileClosing(request: string, {how, reason}: ClosingRefusal): void {
+    this.start(request);
+    if (how === 'whole') {
+      this.refuse(reason);
+      return;
+    }
+    recordStatementRefusal(this.deps, request, this.database(), reason);
     this.link.completeRefusal();
   }
 
--- a/soak/src/__tests__/graceful_stop.test.ts
+++ b/soak/src/__tests__/graceful_stop.test.ts
@@ -95,7 +95,8 @@
       else vm.signal('SIGTERM');
       if (phase === 'idle') send();
       if (phase === 'opening') phase = 'idle';
-      if (received.includes('READY')) socket.end();
+      // Asked again after the whole refusal.
+      if (received.split('ERROR').length > 2) socket.end();
     });
     socket.on('end', send);
     socket.on('close', () => resolve(received));
