Keep draining the MySQL daemon after a second SIGTERM

What callers saw: a second SIGTERM or SIGINT ended the daemon at once, with the statements under way.

--- a/packages/cli/src/commands/entry.ts
+++ b/packages/cli/src/commands/entry.ts
@@ -24,8 +24,9 @@
   }
   const daemon = new EntryDaemon(settings.value);
   const stopped = new Promise<void>(resolve => {
-    process.once('SIGTERM', resolve);
-    process.once('SIGINT', resolve);
+    // Not `once`: without a handler a further signal ends the process at once.
+    process.on('SIGTERM', resolve);
+    process.on('SIGINT', resolve);
   });
   await daemon.start();
   await stopped;
--- a/packages/launcher/src/__tests__/configuration.test.ts
+++ b/packages/launcher/src/__tests__/configuration.test.ts
@@ -198,7 +198,8 @@
     );
   }
 
-  // Guards against a shutdown that interrupts a statement or a transaction.
+  // Guards against a shutdown that interrupts a statement or a transaction, also
+  // after a second signal.
   it('finishes running work on SIGTERM and exits with 0', async () => {
     const idle = await connect('macon-a');
     const running = await connect('macon-a');
@@ -210,6 +211,8 @@
     const statement = errorOf(running.connection.query('SELECT 1'));
     await new Promise(resolve => setTimeout(resolve, STATEMENT_MS / 3));
     const exit = vmIn('macon-a').child.stop();
+    await new Promise(resolve => setTimeout(resolve, STATEMENT_MS / 3));
+    vmIn('macon-a').child.signal('SIGTERM');
     expect({
       statement: await statement,
       idle: await idle.closed,
