--- a/packages/gateway/src/session/session_task.ts
+++ b/packages/gateway/src/session/session_task.ts
@@ -111,14 +111,14 @@
     }
     this.link.close();
     this.end();
-    if (this.transaction.kind === 'open')
-      {this.transaction.transaction.abandon();}
+    if (this.transaction.kind === 'open') {
+      this.transaction.transaction.abandon();
+    }
   }
 
   private async event(event: CallerEvent, receivedAt: number): Promise<void> {
     if (this.phase === 'new' && !['open', 'ended'].includes(event.kind)) {
-      const detail = 'the session is not open';
-      this.link.reject({kind: 'malformed', detail});
+      this.link.reject({kind: 'malformed', detail: 'the session is not open'});
       this.end();
       return;
     }
