Check the lines that callers receive outside of an answer

Cause: since a VM asks a caller to close with an ERROR and completes a request that crosses it with a READY. The stand-in client closed on any line while no request was under way and recorded none, so that a wrong line went unnoticed.

Change: the client records these lines in the history, also those that follow in the same chunk as the line on which it closes. An ERROR is a request to close; any other line, a further COMPLETE or ERROR before a READY, and a READY without either are violations (checkLines). The report of a run counts the requests to close.

--- a/soak/src/checks/check_history.ts
+++ b/soak/src/checks/check_history.ts
@@ -38,6 +38,12 @@
   | 'withdrawn-key-served'
   /** A request ended without an answer around planned work. */
   | 'lost'
+  /** A VM sent a line while no request was under way that is not an ERROR. */
+  | 'response-to-nothing'
+  /** A request got a further COMPLETE or ERROR before its READY. */
+  | 'second-outcome'
+  /** A request got its READY without COMPLETE or ERROR. */
+  | 'no-outcome'
   /** A process ended that nobody had signalled to end. */
   | 'process-ended'
   /** Too few operations succeeded after the last fault. */
--- a/soak/src/clients/caller.ts
+++ b/soak/src/clients/caller.ts
@@ -95,7 +95,7 @@
     const address = this.pick(this.deps.addresses);
     const name = databaseName(group, database);
     const client = await LineClient.open(address, name, key, {
-      exchanges: this.deps.history.exchanges,
+      history: this.deps.history,
       clock: this.deps.clock,
     });
     if (!client) return undefined;
--- a/soak/src/run_soak.ts
+++ b/soak/src/run_soak.ts
@@ -20,6 +20,7 @@
 import {sleep} from '@pistachiorill/tasks';
 import {checkHistory} from './checks/check_history.js';
 import type {Violation} from './checks/check_history.js';
+import {checkLines} from './checks/check_lines.js';
 import {checkLost} from './checks/check_lost.js';
 import type {LostContext} from './checks/check_lost.js';
 import {Caller} from './clients/caller.js';
@@ -62,6 +63,8 @@
   readonly promotions: number;
   /** Requests whose connection ended without an answer, allowed or not. */
   readonly cut: number;
+  /** How often a VM asked a caller to close. */
+  readonly closeRequests: number;
   readonly peakMemoryMb: number;
   /** The time in which this process did not run. */
   readonly stalledMs: number;
@@ -147,6 +150,7 @@
   const violations = [
     ...otherViolations,
     ...checkLost(history, lostContext),
+    ...checkLines(history, vmAt),
     ...unexpectedExits(vms),
   ];
   if (violations.length > 0) {
@@ -160,6 +164,9 @@
       .length,
     promotions: history.promotions.length,
     cut: history.exchanges.filter(item => item.end === 'cut').length,
+    closeRequests: history.irregularLines.filter(
+      item => item.kind === 'close-request',
+    ).length,
     peakMemoryMb: memoryWatch.peakMb,
     stalledMs: stallMonitor.stalledMs,
     violations,
@@ -287,6 +294,7 @@
     ...history.exchanges
       .filter(item => item.end !== 'answered')
       .map(item => JSON.stringify({unanswered: item})),
+    ...history.irregularLines.map(item => JSON.stringify({line: item})),
     ...history.memberRequests.map(item => JSON.stringify({received: item})),
     ...history.promotions.map(item => JSON.stringify({promotion: item})),
     ...history.operations.map(item => JSON.stringify({operation: item})),
