Let callers of the soak stay when asked to close, and open sessions late

Cause: all callers of the soak closed when they were asked to, opened their sessions at once and paused before each request.

Change: of the callers that hold sessions one in five stays when asked and goes on sending, one in five sends STARTUP after up to 2 s or never, and an eager caller whose pause is 0 sends the next request in the turn in which the answer arrives. 15 callers hold sessions in place of 10 (10 in place of 6 in the short runs), so that the other kinds are as many as before. The report counts processes that SIGKILL ended at the end of the grace period.

--- a/soak/src/__tests__/soak.test.ts
+++ b/soak/src/__tests__/soak.test.ts
@@ -52,19 +52,19 @@
   // Guards against requests that are lost when VMs are stopped and restarted and
   // configurations change, as when a second signal ended a draining process.
   it('finds no violation in a short run of planned work', async () => {
-    const size = {lengthMs: 9_000, vms: 3, callers: 4, holders: 6};
+    const size = {lengthMs: 9_000, vms: 3, callers: 4, holders: 10};
     expect(await violationsOf(3, size, 'planned')).toEqual([]);
   });
 
   // Guards against guarantees that planned work breaks while faults last.
   it('finds no violation in a short run of both', async () => {
-    const size = {lengthMs: 9_000, vms: 3, callers: 4, holders: 6};
+    const size = {lengthMs: 9_000, vms: 3, callers: 4, holders: 10};
     expect(await violationsOf(3, size, 'all')).toEqual([]);
   });
 
   // Guards against guarantees that break when the store goes back to a copy.
   it('finds no violation in a short run with restores', async () => {
-    const size = {lengthMs: 9_000, vms: 3, callers: 4, holders: 6};
+    const size = {lengthMs: 9_000, vms: 3, callers: 4, holders: 10};
     expect(await violationsOf(3, size, 'restored')).toEqual([]);
   });
 
--- a/soak/src/checks/__tests__/check_lines.test.ts
+++ b/soak/src/checks/__tests__/check_lines.test.ts
@@ -6,7 +6,7 @@
   LineClient,
   createHistory,
 } from '@pistachiorill/platform/standins';
-import type {History} from '@pistachiorill/platform/standins';
+import type {CloseRequestReaction} from '@pistachiorill/platform/standins';
 import {sleep} from '@pistachiorill/tasks';
 import {checkLines} from '../check_lines.js';
 
@@ -17,14 +17,17 @@
 
 afterEach(() => server?.close());
 
-/** Starts a VM that opens a session and answers one request with `lines`. */
-async function listen(lines: readonly string[]): Promise<string> {
+type Lines = readonly string[];
+
+/** Starts a VM that opens a session and sends the replies to its requests. */
+async function listen(replies: readonly Lines[]): Promise<string> {
+  const rest = [['READY I -'], ...replies];
   const started = createServer(socket => {
     socket.on('error', () => undefined);
-    socket.on('data', chunk => {
-      const isOpening = chunk.toString('latin1').startsWith('STARTUP');
-      if (isOpening) socket.write('READY I -\r\n');
-      else socket.end(lines.map(line => `${line}\r\n`).join(''));
+    socket.on('data', () => {
+      const lines = rest.shift() ?? [];
+      socket.write(lines.map(line => `${line}\r\n`).join(''));
+      if (rest.length === 0) socket.end();
     });
   });
   server = started;
@@ -32,18 +35,32 @@
   return `${LOOPBACK_HOST}:${(started.address() as AddressInfo).port}`;
 }
 
-/** Sends one request and records the lines that are received. */
-async function record(lines: readonly string[]): Promise<History> {
+/** Sends one request for each reply and returns what was recorded and found. */
+async function check(
+  replies: readonly Lines[],
+  onCloseRequest: CloseRequestReaction,
+) {
   const history = createHistory();
   const clock = (): number => NOW_MS;
-  const address = await listen(lines);
-  const client = await LineClient.open(address, 'db', 'key', {history, clock});
-  await client?.run('r1', {kind: 'read', item: 'i'});
-  while (client?.isOpen) await sleep(POLL_MS);
-  return history;
+  const address = await listen(replies);
+  const client = new LineClient(address, {history, clock}, onCloseRequest);
+  await client.startUp('db', 'key');
+  const answers: string[] = [];
+  for (const index of replies.keys()) {
+    const id = `r${index + 1}`;
+    const {kind} = await client.run(id, {kind: 'read', item: 'i'});
+    answers.push(kind);
+  }
+  while (!client.isClosed) await sleep(POLL_MS);
+  const {irregularLines} = history;
+  return {
+    answers,
+    received: irregularLines.map(({kind, word}) => `${kind}: ${word}`),
+    violations: checkLines({irregularLines}, () => 'vm-1'),
+  };
 }
 
-const CASES: ReadonlyArray<readonly [string, readonly string[]]> = [
+const CASES: ReadonlyArray<readonly [string, Lines]> = [
   ['an answer', ['DATAROW x', 'COMPLETE s', 'READY I -']],
   ['a refusal', ['ERROR BUSY x', 'READY I -']],
   ['a request to close', ['COMPLETE s', 'READY I -', 'ERROR BUSY x']],
@@ -63,11 +80,17 @@
   // Guards against a VM whose request to close is mistaken for an answer, and
   // against a check that reports what the protocol allows.
   it.each(CASES)('%s', async (unusedName, lines) => {
-    const {irregularLines, exchanges} = await record(lines);
-    expect({
-      received: irregularLines.map(({kind, word}) => `${kind}: ${word}`),
-      ends: exchanges.map(item => item.end),
-      violations: checkLines({irregularLines}, () => 'vm-1'),
-    }).toMatchSnapshot();
+    expect(await check([lines], 'closes')).toMatchSnapshot();
+  });
+
+  // Guards against a false report for a caller that does not close, as its next
+  // request completes the refusal, and against a VM that asks it again and again.
+  it('a caller that stays', async () => {
+    const replies = [
+      ['COMPLETE s', 'READY I -', 'ERROR A'],
+      ['READY I -', 'ERROR A'],
+      ['READY I -', 'ERROR A', 'ERROR A'],
+    ];
+    expect(await check(replies, 'stays')).toMatchSnapshot();
   });
 });
--- a/soak/src/clients/caller.ts
+++ b/soak/src/clients/caller.ts
@@ -22,6 +22,7 @@
 import type {CallerPace} from './caller_pace.js';
 
 const RECONNECT_DELAY_MS = 100;
+const STARTUP_POLL_MS = 10;
 const ITEM_COUNT = 20;
 /** The share of single statements that are reads. */
 const READ_SHARE = 9 / 14;
@@ -69,7 +70,8 @@
       for (let i = 0; i < pace.operationsPerSession; i++) {
         if (!this.isRunning() || !session.client.isOpen) break;
         await this.runOperation(session);
-        await sleep(pace.pauseMs(random));
+        const pauseMs = pace.pauseMs(random);
+        if (pauseMs > 0) await sleep(pauseMs);
       }
       session.client.close();
     }
@@ -94,11 +96,17 @@
     );
     const address = this.pick(this.deps.addresses);
     const name = databaseName(group, database);
-    const client = await LineClient.open(address, name, key, {
-      history: this.deps.history,
-      clock: this.deps.clock,
-    });
-    if (!client) return undefined;
+    const {clock, history, pace} = this.deps;
+    const client = new LineClient(
+      address,
+      {history, clock},
+      pace.onCloseRequest,
+    );
+    const startUpAt = clock() + this.pick(pace.startUpDelaysMs);
+    while (this.isRunning() && !client.isClosed && clock() < startUpAt) {
+      await sleep(STARTUP_POLL_MS);
+    }
+    if (!(await client.startUp(name, key))) return undefined;
     const tagged = await client.run(this.nextId(), {
       kind: 'tag',
       value: id,
--- a/soak/src/clients/caller_pace.ts
+++ b/soak/src/clients/caller_pace.ts
@@ -1,5 +1,6 @@
 import type {Random} from '@pistachiorill/core';
 import {KEYS_PER_WORKSPACE} from '@pistachiorill/platform/standins';
+import type {CloseRequestReaction} from '@pistachiorill/platform/standins';
 
 /** How a caller spaces its operations, and how long it keeps a session. */
 export abstract class CallerPace {
@@ -11,8 +12,11 @@
   abstract readonly slowShare: number;
   /** The number of keys of a workspace from which sessions choose. */
   abstract readonly keys: number;
+  readonly onCloseRequest: CloseRequestReaction = 'closes';
+  /** The times from connecting to STARTUP from which sessions choose. */
+  readonly startUpDelaysMs: readonly number[] = [0];
 
-  /** The pause between two operations of a session. */
+  /** The pause between two operations of a session; 0 is no pause at all. */
   abstract pauseMs(random: Random): number;
 
   /** The pause between two statements of a transaction. */
@@ -74,8 +78,8 @@
 const LONG_PAUSE_SHARE = 0.05;
 
 /**
- * Sends the next request as soon as it has the answer, so that requests are on
- * their way at the moment at which the process closes the connection.
+ * Sends the next request as soon as it has the answer, often in the same turn of
+ * the event loop, so that requests cross what the process sends to end a session.
  */
 export class EagerPace extends HoldingPace {
   override readonly transactionShare = 0.1;
@@ -91,9 +95,33 @@
   }
 }
 
+/** Does not close when it is asked to, and goes on sending requests. */
+export class StayingPace extends HoldingPace {
+  override readonly transactionShare = 0.2;
+  override readonly onCloseRequest = 'stays';
+
+  override pauseMs(random: Random): number {
+    return random.integer(0, 200);
+  }
+
+  override transactionPauseMs(random: Random): number {
+    return random.integer(0, 200);
+  }
+}
+
+/** Longer than a process waits for STARTUP before it disconnects the caller. */
+const NEVER_MS = 12_000;
+
+/** Sends STARTUP late or never. */
+export class LatePace extends IdlePace {
+  override readonly startUpDelaysMs = [300, 1_000, 2_000, NEVER_MS];
+}
+
 /** The paces of callers that hold their sessions, assigned in rotation. */
 export const HOLDING_PACES: readonly CallerPace[] = [
   new IdlePace(),
   new TransactionPace(),
   new EagerPace(),
+  new StayingPace(),
+  new LatePace(),
 ];
--- a/soak/src/main.ts
+++ b/soak/src/main.ts
@@ -19,11 +19,12 @@
                faults: faults without the series of planned work
                planned: planned work only, around which no request may be lost
                restored: planned work, and a store that goes back to a copy
-    --size     usual: 4 VMs, 10 callers and 10 holders (default)
+    --size     usual: 4 VMs, 10 callers and 15 holders (default)
                large: 40 VMs, 60 callers and 60 holders
     --vms      gateway processes
     --callers  callers that leave their sessions after some operations
-    --holders  callers that keep their sessions until the process is gone
+    --holders  callers that keep their sessions until the process is gone; some
+               do not close when asked to, or open their sessions late
     --folder   folder for logs (default build/soak)
 
   A run fails when its processes need more than half of the machine's memory.
@@ -36,7 +37,7 @@
 
 /** The processes and callers of a run. */
 const SIZES = {
-  usual: {vms: 4, callers: 10, holders: 10},
+  usual: {vms: 4, callers: 10, holders: 15},
   large: {vms: 40, callers: 60, holders: 60},
 } as const;
 
--- a/soak/src/run_soak.ts
+++ b/soak/src/run_soak.ts
@@ -65,6 +65,8 @@
   readonly cut: number;
   /** How often a VM asked a caller to close. */
   readonly closeRequests: number;
+  /** Processes that SIGKILL ended at the end of the grace period. */
+  readonly overdueStops: number;
   readonly peakMemoryMb: number;
   /** The time in which this process did not run. */
   readonly stalledMs: number;
@@ -167,6 +169,7 @@
     closeRequests: history.irregularLines.filter(
       item => item.kind === 'close-request',
     ).length,
+    overdueStops: vms.reduce((sum, vm) => sum + vm.overdueStops, 0),
     peakMemoryMb: memoryWatch.peakMb,
     stalledMs: stallMonitor.stalledMs,
     violations,
--- a/soak/src/vm_process.ts
+++ b/soak/src/vm_process.ts
@@ -37,6 +37,7 @@
   /** The processes that were sent a signal that may end them. */
   private readonly ended = new WeakSet<ChildProcess>();
   private readonly exits: string[] = [];
+  private killed = 0;
 
   constructor(
     readonly name: string,
@@ -60,6 +61,11 @@
     return this.exits;
   }
 
+  /** How many processes SIGKILL ended at the end of the grace period. */
+  get overdueStops(): number {
+    return this.killed;
+  }
+
   /** The id of the process, if it runs. */
   get pid(): number | undefined {
     return this.runningChild()?.pid;
@@ -110,7 +116,9 @@
    */
   async stop(): Promise<void> {
     const child = this.runningChild();
-    const timer = setTimeout(() => child?.kill('SIGKILL'), GRACE_MS);
+    const timer = setTimeout(() => {
+      if (child?.kill('SIGKILL')) this.killed++;
+    }, GRACE_MS);
     await this.end('SIGTERM');
     clearTimeout(timer);
   }
