Keep the history of soak runs that cut a request

Cause: a request that ended without an answer, but is not counted as lost, left no history, so that it could not be traced.

Change: the history is written for runs with cuts as well as for those with violations.

--- a/soak/src/run_soak.ts
+++ b/soak/src/run_soak.ts
@@ -49,7 +49,7 @@
   readonly maxMemoryMb: number;
   /** Path of the bundled gateway. */
   readonly program: string;
-  /** Folder for logs and for the history of a run with violations. */
+  /** Folder for logs and for the history of a run with violations or cuts. */
   readonly folder: string;
 }
 
@@ -155,7 +155,8 @@
     ...checkLines(history, vmAt),
     ...unexpectedExits(vms),
   ];
-  if (violations.length > 0) {
+  const cut = history.exchanges.filter(item => item.end === 'cut').length;
+  if (violations.length + cut > 0) {
     saveHistory(folder, history, record, violations);
   }
   return {
@@ -165,7 +166,7 @@
     served: history.operations.filter(item => item.outcome === 'success')
       .length,
     promotions: history.promotions.length,
-    cut: history.exchanges.filter(item => item.end === 'cut').length,
+    cut,
     closeRequests: history.irregularLines.filter(
       item => item.kind === 'close-request',
     ).length,
