Keep the history and stalls of soak runs with an overdue stop

Change: the history, now with the stalls of the soak, is also written for runs with an overdue stop.

--- a/soak/src/run_soak.ts
+++ b/soak/src/run_soak.ts
@@ -22,7 +22,7 @@
 import type {Violation} from './checks/check_history.js';
 import {checkLines} from './checks/check_lines.js';
 import {checkLost} from './checks/check_lost.js';
-import type {LostContext} from './checks/check_lost.js';
+import type {LostContext, Stall} from './checks/check_lost.js';
 import {Caller} from './clients/caller.js';
 import {HOLDING_PACES, RoamingPace} from './clients/caller_pace.js';
 import type {CallerPace} from './clients/caller_pace.js';
@@ -49,7 +49,7 @@
   readonly maxMemoryMb: number;
   /** Path of the bundled gateway. */
   readonly program: string;
-  /** Folder for logs and for the history of a run with violations or cuts. */
+  /** Folder for logs and for the history of a run that is to be traced. */
   readonly folder: string;
 }
 
@@ -156,8 +156,9 @@
     ...unexpectedExits(vms),
   ];
   const cut = history.exchanges.filter(item => item.end === 'cut').length;
-  if (violations.length + cut > 0) {
-    saveHistory(folder, history, record, violations);
+  const overdueStops = vms.reduce((sum, vm) => sum + vm.overdueStops, 0);
+  if (violations.length + cut + overdueStops > 0) {
+    saveHistory(folder, history, record, stallMonitor.stalls, violations);
   }
   return {
     seed,
@@ -170,7 +171,7 @@
     closeRequests: history.irregularLines.filter(
       item => item.kind === 'close-request',
     ).length,
-    overdueStops: vms.reduce((sum, vm) => sum + vm.overdueStops, 0),
+    overdueStops,
     peakMemoryMb: memoryWatch.peakMb,
     stalledMs: stallMonitor.stalledMs,
     violations,
@@ -290,10 +291,12 @@
   folder: string,
   history: History,
   record: FaultRecord,
+  stalls: readonly Stall[],
   violations: readonly Violation[],
 ): void {
   const lines = [
     ...violations.map(item => JSON.stringify({violation: item})),
+    ...stalls.map(item => JSON.stringify({stall: item})),
     ...record.plannedWork.map(item => JSON.stringify({plannedWork: item})),
     ...history.exchanges
       .filter(item => item.end !== 'answered')
