Test the lines that a caller receives in the adapter's folder

Cause: check_lines.test.ts held words of the line protocol, which platform_names.test.ts found: the names of the platform stay in its folder.

--- a/soak/src/checks/__tests__/check_lines.test.ts
+++ b/soak/src/checks/__tests__/check_lines.test.ts
@@ -1,96 +1,29 @@
-import {createServer} from 'node:net';
-import type {AddressInfo, Server} from 'node:net';
-import {afterEach, describe, expect, it} from 'vitest';
-import {
-  LOOPBACK_HOST,
-  LineClient,
-  createHistory,
-} from '@pistachiorill/platform/standins';
-import type {CloseRequestReaction} from '@pistachiorill/platform/standins';
-import {sleep} from '@pistachiorill/tasks';
+import {describe, expect, it} from 'vitest';
+import type {IrregularLine} from '@pistachiorill/platform/standins';
 import {checkLines} from '../check_lines.js';
 
-const POLL_MS = 5;
-const NOW_MS = 100;
-
-let server: Server | undefined;
-
-afterEach(() => server?.close());
-
-type Lines = readonly string[];
-
-/** Starts a VM that opens a session and sends the replies to its requests. */
-async function listen(replies: readonly Lines[]): Promise<string> {
-  const rest = [['READY I -'], ...replies];
-  const started = createServer(socket => {
-    socket.on('error', () => undefined);
-    socket.on('data', () => {
-      const lines = rest.shift() ?? [];
-      socket.write(lines.map(line => `${line}\r\n`).join(''));
-      if (rest.length === 0) socket.end();
-    });
-  });
-  server = started;
-  await new Promise<void>(resolve => started.listen(0, LOOPBACK_HOST, resolve));
-  return `${LOOPBACK_HOST}:${(started.address() as AddressInfo).port}`;
-}
-
-/** Sends one request for each reply and returns what was recorded and found. */
-async function check(
-  replies: readonly Lines[],
-  onCloseRequest: CloseRequestReaction,
-) {
-  const history = createHistory();
-  const clock = (): number => NOW_MS;
-  const address = await listen(replies);
-  const client = new LineClient(address, {history, clock}, onCloseRequest);
-  await client.startUp('db', 'key');
-  const answers: string[] = [];
-  for (const index of replies.keys()) {
-    const id = `r${index + 1}`;
-    const {kind} = await client.run(id, {kind: 'read', item: 'i'});
-    answers.push(kind);
-  }
-  while (!client.isClosed) await sleep(POLL_MS);
-  const {irregularLines} = history;
-  return {
-    answers,
-    received: irregularLines.map(({kind, word}) => `${kind}: ${word}`),
-    violations: checkLines({irregularLines}, () => 'vm-1'),
-  };
-}
-
-const CASES: ReadonlyArray<readonly [string, Lines]> = [
-  ['an answer', ['DATAROW x', 'COMPLETE s', 'READY I -']],
-  ['a refusal', ['ERROR BUSY x', 'READY I -']],
-  ['a request to close', ['COMPLETE s', 'READY I -', 'ERROR BUSY x']],
-  ['a refusal and a request to close', ['ERROR A', 'READY I -', 'ERROR A']],
-  ['a second READY', ['COMPLETE s', 'READY I -', 'READY I -']],
-  ['an answer to nothing', ['COMPLETE s', 'READY I -', 'DATAROW x']],
-  [
-    'a READY after a request to close',
-    ['COMPLETE s', 'READY I -', 'ERROR A', 'READY I -'],
-  ],
-  ['two errors', ['ERROR BUSY x', 'ERROR BUSY y', 'READY I -']],
-  ['an error and an answer', ['ERROR A', 'COMPLETE s', 'READY I -']],
-  ['a READY alone', ['READY I -']],
+const LINE: IrregularLine = {
+  kind: 'close-request',
+  address: 'host:1',
+  word: 'WORD',
+  lastId: 'r1',
+  at: 100.4,
+};
+
+const CASES: ReadonlyArray<readonly [string, Partial<IrregularLine>]> = [
+  ['a request to close', {}],
+  ['a response to nothing', {kind: 'response-to-nothing'}],
+  ['a response before any request', {kind: 'response-to-nothing', lastId: ''}],
+  ['a second outcome', {kind: 'second-outcome'}],
+  ['no outcome', {kind: 'no-outcome'}],
 ];
 
 describe('checkLines', () => {
   // Guards against a VM whose request to close is mistaken for an answer, and
   // against a check that reports what the protocol allows.
-  it.each(CASES)('%s', async (unusedName, lines) => {
-    expect(await check([lines], 'closes')).toMatchSnapshot();
-  });
-
-  // Guards against a false report for a caller that does not close, as its next
-  // request completes the refusal, and against a VM that asks it again and again.
-  it('a caller that stays', async () => {
-    const replies = [
-      ['COMPLETE s', 'READY I -', 'ERROR A'],
-      ['READY I -', 'ERROR A'],
-      ['READY I -', 'ERROR A', 'ERROR A'],
-    ];
-    expect(await check(replies, 'stays')).toMatchSnapshot();
+  it.each(CASES)('%s', (unusedName, line) => {
+    const irregularLines = [{...LINE, ...line}];
+    const violations = checkLines({irregularLines}, () => 'vm-1');
+    expect(violations).toMatchSnapshot();
   });
 });
