--- a/packages/gateway/src/session/session_task.ts
+++ b/packages/gateway/src/session/session_task.ts
@@ -14,29 +14,24 @@
   SessionReply,
 } from '../ports/caller_link.js';
 import type {MemberAnswer, MemberCommand} from '../ports/member_link.js';
-import {busyRefusal} from './conclude_fault.js';
 import {runFirstStatement} from './first_statement.js';
 import {IdleTimer} from './idle_timer.js';
 import {resolveCaller} from './route_filter.js';
 import type {SessionMessage, SessionDependencies} from './session_message.js';
 import {SessionClosing} from './session_closing.js';
-import {SessionSettings} from './session_settings.js';
 import {
-  recordAfterClose,
-  recordSessionRefusal,
-  recordStatementRefusal,
-} from './session_records.js';
+  MESSAGE_TOO_LARGE,
+  SESSION_FAILED,
+  UNEXPECTED_ERROR,
+  VM_STOPS,
+} from './session_refusals.js';
+import {SessionSettings} from './session_settings.js';
+import {recordAfterClose, recordSessionRefusal} from './session_records.js';
 import {replyAfterFailure} from './session_transaction.js';
 import type {SessionTransaction} from './session_transaction.js';
 import {StatementReplies} from './statement_replies.js';
 
 const LOCAL_REPLY: SessionReply = {kind: 'local'};
-const VM_STOPS = busyRefusal('this VM stops', 0);
-const SESSION_FAILED = busyRefusal('the session failed', 0);
-const UNEXPECTED_ERROR: SessionRefusal = {
-  kind: 'unknown-outcome',
-  detail: 'internal error',
-};
 
 /** Owns a caller's session: values, prepared statements and transaction. */
 export class SessionTask extends Task<SessionMessage> {
@@ -59,7 +54,9 @@
     private readonly onEnded: () => void,
   ) {
     super();
-    this.closing = new SessionClosing(link, () => this.tell({kind: 'close'}));
+    this.closing = new SessionClosing(link, () =>
+      this.tell({kind: 'disconnect'}),
+    );
     this.replies = new StatementReplies(
       link,
       deps,
@@ -89,7 +86,14 @@
         this.closing.drain(VM_STOPS);
         return;
       case 'close':
-        await this.close();
+        this.closing.close(VM_STOPS);
+        // Requests in the mailbox belong to the transaction that is given up.
+        await this.failTransaction();
+        return;
+      case 'disconnect':
+        this.closing.disconnect();
+        // A request can have arrived while this process did not run.
+        await this.link.receivePending();
         return;
       case 'abort-transaction':
       case 'transaction-idle':
@@ -100,40 +104,46 @@
 
   protected override onFailure(err: unknown): void {
     this.deps.log.error({event: 'session.failed', err}, 'session failed');
-    if (this.closing.isStarted) {
-      this.link.close();
-      this.end();
+    if (!this.closing.isStarted) {
+      this.closing.close(SESSION_FAILED);
+      this.tell({kind: 'close'});
       return;
     }
-    this.closing.close(SESSION_FAILED);
-    this.tell({kind: 'close'});
+    this.link.close();
+    this.end();
+    if (this.transaction.kind === 'open') {
+      this.transaction.transaction.abandon();
+    }
   }
 
   private async event(event: CallerEvent, receivedAt: number): Promise<void> {
     if (this.phase === 'new' && !['open', 'ended'].includes(event.kind)) {
-      const detail = 'the session is not open';
-      this.link.reject({kind: 'malformed', detail});
+      this.link.reject({kind: 'malformed', detail: 'the session is not open'});
       this.end();
       return;
     }
+    if (this.closing.isRequested && event.kind !== 'ended') {
+      const request = 'id' in event ? event.id : '';
+      this.replies.refuseWhileClosing(request, this.closing.refuse());
+      if (event.kind === 'too-large') await this.ended();
+      return;
+    }
     switch (event.kind) {
       case 'open':
         this.open(event.database, event.key);
         return;
       case 'statement':
-        if (this.closing.isRequested) return this.refuseCrossing(event.id);
         this.idleTimer.stop();
         await this.answerStatement(event, receivedAt);
         this.startTransactionTimeout();
         return;
       case 'malformed':
-        if (this.closing.isRequested) return this.refuseCrossing(event.id);
         this.replies.start(event.id);
         this.replies.refuse({kind: 'malformed', detail: event.detail});
         return;
       case 'too-large':
         this.replies.start('');
-        this.replies.refuse({kind: 'too-large', detail: 'message over 1 MiB'});
+        this.replies.refuse(MESSAGE_TOO_LARGE);
         await this.ended();
         return;
       case 'ended':
@@ -145,9 +155,7 @@
   private open(database: string, key: string): void {
     const found = resolveCaller(this.deps.configuration(), database, key);
     if (!found.ok) {
-      recordSessionRefusal(this.deps, database, found.err);
-      this.link.reject(found.err);
-      this.end();
+      this.reject(database, found.err);
       return;
     }
     this.database = database;
@@ -156,6 +164,12 @@
     this.link.accept();
   }
 
+  private reject(database: string, refusal: SessionRefusal): void {
+    recordSessionRefusal(this.deps, database, refusal);
+    this.link.reject(refusal);
+    this.end();
+  }
+
   /** Runs a statement; an unexpected error is answered, once, as well. */
   private async answerStatement(
     {id, statement}: Extract<CallerEvent, {kind: 'statement'}>,
@@ -183,7 +197,7 @@
     receivedAt: number,
   ): Promise<void> {
     if (this.transaction.kind === 'failed') {
-      this.handleStatementAfterFailure(id, statement);
+      this.handleStatementAfterFailure(statement);
       return;
     }
     switch (statement.kind) {
@@ -193,7 +207,7 @@
         this.replies.send(this.settings.apply(statement));
         return;
       case 'begin':
-        this.begin(id, statement.access);
+        this.begin(statement.access);
         return;
       case 'rollback':
         await this.rollback();
@@ -214,16 +228,13 @@
   }
 
   /** Refuses statements until a rollback or commit ends the transaction. */
-  private handleStatementAfterFailure(
-    id: string,
-    statement: CallerStatement,
-  ): void {
+  private handleStatementAfterFailure(statement: CallerStatement): void {
     const {reply, transaction} = replyAfterFailure(statement);
     if (transaction === 'ended') this.transaction = {kind: 'none'};
     this.replies.send(reply);
   }
 
-  private begin(id: string, access: StatementAccess): void {
+  private begin(access: StatementAccess): void {
     if (this.transaction.kind !== 'none') {
       const detail = 'a transaction is open';
       this.replies.refuse({kind: 'malformed', detail});
@@ -264,10 +275,8 @@
   ): Promise<void> {
     const {transaction} = this;
     if (access === 'commit' && transaction.kind === 'none') {
-      this.replies.refuse({
-        kind: 'malformed',
-        detail: 'no transaction is open',
-      });
+      const detail = 'no transaction is open';
+      this.replies.refuse({kind: 'malformed', detail});
       return;
     }
     const result =
@@ -305,11 +314,11 @@
     prepared: PreparedStatement | undefined,
     receivedAt: number,
   ): Promise<Result<MemberAnswer, SessionRefusal>> {
-    const {transaction} = this;
+    const {transaction, database, key} = this;
     const result = await runFirstStatement(this.deps, {
       id,
-      database: this.database,
-      key: this.key,
+      database,
+      key,
       receivedAt,
       command,
       access,
@@ -328,8 +337,8 @@
   /** Fails the transaction and ends the session if access was withdrawn. */
   private async handleReconfiguration(): Promise<void> {
     if (this.phase === 'new') return;
-    const configuration = this.deps.configuration();
-    const found = resolveCaller(configuration, this.database, this.key);
+    const {database, key} = this;
+    const found = resolveCaller(this.deps.configuration(), database, key);
     if (found.ok) return;
     await this.failTransaction();
     this.closing.drain(found.err);
@@ -349,39 +358,28 @@
     this.idleTimer.start(this.deps.configuration()?.transactionIdleMs ?? 0);
   }
 
-  /** Asks the caller to close, or ends a session whose caller did not. */
-  private async close(): Promise<void> {
-    if (this.closing.isRequested) {
-      this.link.close();
-      this.end();
+  /**
+   * Asks the caller to close once requests that arrived are answered, or ends the
+   * connection behind the last answer.
+   */
+  private async closeIfIdle(): Promise<void> {
+    if (this.backlog > 0 || this.phase === 'closed') return;
+    if (this.closing.isDisconnecting) {
+      await this.ended();
       return;
     }
-    this.closing.close(VM_STOPS);
-    // Requests in the mailbox belong to the transaction that is given up.
-    await this.failTransaction();
-  }
-
-  /** Asks the caller to close once requests that arrived are answered. */
-  private async closeIfIdle(): Promise<void> {
-    if (!this.closing.isDue(this.transaction) || this.backlog > 0) return;
+    if (!this.closing.isDue(this.transaction)) return;
     await this.failTransaction();
     await this.link.receivePending();
     if (this.backlog > 0) return;
     if (this.phase === 'new') {
-      this.link.reject(VM_STOPS);
-      this.end();
+      this.reject('', VM_STOPS);
       return;
     }
     this.transaction = {kind: 'none'};
     this.closing.requestClose();
   }
 
-  /** Refuses a request that the caller sent before it was asked to close. */
-  private refuseCrossing(id: string): void {
-    const refusal = this.closing.refuseCrossing();
-    recordStatementRefusal(this.deps, id, this.database, refusal);
-  }
-
   /** Ends the session and rolls back an open transaction. */
   private async ended(): Promise<void> {
     const {transaction} = this;
