--- a/soak/src/run_soak.ts
+++ b/soak/src/run_soak.ts
@@ -20,8 +20,9 @@
 import {sleep} from '@pistachiorill/tasks';
 import {checkHistory} from './checks/check_history.js';
 import type {Violation} from './checks/check_history.js';
+import {checkLines} from './checks/check_lines.js';
 import {checkLost} from './checks/check_lost.js';
-import type {LostContext} from './checks/check_lost.js';
+import type {LostContext, Stall} from './checks/check_lost.js';
 import {Caller} from './clients/caller.js';
 import {HOLDING_PACES, RoamingPace} from './clients/caller_pace.js';
 import type {CallerPace} from './clients/caller_pace.js';
@@ -48,7 +49,7 @@
   readonly maxMemoryMb: number;
   /** Path of the bundled gateway. */
   readonly program: string;
-  /** Folder for logs and for the history of a run with violations. */
+  /** Folder for logs and for the history of a run that is to be traced. */
   readonly folder: string;
 }
 
@@ -62,6 +63,10 @@
   readonly promotions: number;
   /** Requests whose connection ended without an answer, allowed or not. */
   readonly cut: number;
+  /** How often a VM asked a caller to close. */
+  readonly closeRequests: number;
+  /** Processes that SIGKILL ended at the end of the grace period. */
+  readonly overdueStops: number;
   readonly peakMemoryMb: number;
   /** The time in which this process did not run. */
   readonly stalledMs: number;
@@ -147,10 +152,13 @@
   const violations = [
     ...otherViolations,
     ...checkLost(history, lostContext),
+    ...checkLines(history, vmAt),
     ...unexpectedExits(vms),
   ];
-  if (violations.length > 0) {
-    saveHistory(folder, history, record, violations);
+  const cut = history.exchanges.filter(item => item.end === 'cut').length;
+  const overdueStops = vms.reduce((sum, vm) => sum + vm.overdueStops, 0);
+  if (violations.length + cut + overdueStops > 0) {
+    saveHistory(folder, history, record, stallMonitor.stalls, violations);
   }
   return {
     seed,
@@ -159,7 +167,11 @@
     served: history.operations.filter(item => item.outcome === 'success')
       .length,
     promotions: history.promotions.length,
-    cut: history.exchanges.filter(item => item.end === 'cut').length,
+    cut,
+    closeRequests: history.irregularLines.filter(
+      item => item.kind === 'close-request',
+    ).length,
+    overdueStops,
     peakMemoryMb: memoryWatch.peakMb,
     stalledMs: stallMonitor.stalledMs,
     violations,
@@ -279,14 +291,17 @@
   folder: string,
   history: History,
   record: FaultRecord,
+  stalls: readonly Stall[],
   violations: readonly Violation[],
 ): void {
   const lines = [
     ...violations.map(item => JSON.stringify({violation: item})),
+    ...stalls.map(item => JSON.stringify({stall: item})),
     ...record.plannedWork.map(item => JSON.stringify({plannedWork: item})),
     ...history.exchanges
       .filter(item => item.end !== 'answered')
       .map(item => JSON.stringify({unanswered: item})),
+    ...history.irregularLines.map(item => JSON.stringify({line: item})),
     ...history.memberRequests.map(item => JSON.stringify({received: item})),
     ...history.promotions.map(item => JSON.stringify({promotion: item})),
     ...history.operations.map(item => JSON.stringify({operation: item})),
