--- /dev/null
+++ b/packages/gateway/src/testing/fake_session.ts
@@ -0,0 +1,104 @@
+import type {RuntimeConfiguration} from '@pistachiorill/core';
+import {Pipeline} from '@pistachiorill/tasks';
+import type {CallerStatement} from '../ports/caller_link.js';
+import {PlaceFilter} from '../session/place_filter.js';
+import {RouteFilter} from '../session/route_filter.js';
+import {SessionTask} from '../session/session_task.js';
+import {GatewayMetrics} from '../telemetry/gateway_metrics.js';
+import {FakeCaller} from './fake_caller.js';
+import {FakeGroup, silentLogger} from './fake_group.js';
+
+/** How long a test waits for pending statements to finish. */
+export const SETTLE_MS = 40;
+
+export const SESSION_CONFIGURATION: RuntimeConfiguration = {
+  version: 1,
+  routes: new Map([
+    [
+      'wash-db',
+      {
+        name: 'r',
+        database: 'wash-db',
+        group: 'wash',
+        consistency: 'strict',
+        maxAgeMs: 0,
+        statementTimeoutMs: 400,
+        targetMs: 100,
+        priority: 1,
+        audience: 'keyed',
+        regions: [],
+      },
+    ],
+  ]),
+  groups: new Map(),
+  workspaces: new Map([
+    ['growers', {name: 'growers', limit: {rate: 9, burst: 9}, regions: []}],
+  ]),
+  keys: new Map([['k1', 'growers']]),
+  transactionIdleMs: 3_000,
+};
+
+/** Starts a session with a fake caller and a group of fake members. */
+export function startSession(connectionLimit?: number) {
+  const fake = new FakeGroup(connectionLimit);
+  const clock = (): number => performance.now();
+  const log = silentLogger();
+  const state = {configuration: SESSION_CONFIGURATION};
+  const caller = new FakeCaller();
+  const metrics = new GatewayMetrics();
+  const session = new SessionTask(
+    caller,
+    {
+      admit: Pipeline.of(new RouteFilter(), clock),
+      place: Pipeline.of(
+        new PlaceFilter({database: () => fake.task, clock, log}),
+        clock,
+      ),
+      database: () => fake.task,
+      configuration: () => state.configuration,
+      refundToken: () => undefined,
+      clock,
+      log,
+      metrics,
+    },
+    () => caller.seen.push('ended'),
+  );
+  const open = (database = 'wash-db', key = 'k1'): void =>
+    session.tell({
+      kind: 'event',
+      event: {kind: 'open', database, key},
+      receivedAt: clock(),
+    });
+  const run = async (...statements: CallerStatement[]): Promise<void> => {
+    for (const [index, statement] of statements.entries()) {
+      session.tell({
+        kind: 'event',
+        event: {kind: 'statement', id: `q${index}`, statement},
+        receivedAt: clock(),
+      });
+    }
+    await settle();
+  };
+  caller.onCloseRequested = () =>
+    session.tell({kind: 'event', event: {kind: 'ended'}, receivedAt: clock()});
+  return {fake, caller, metrics, session, state, open, run};
+}
+
+/** Waits for pending statements to finish. */
+export function settle(): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, SETTLE_MS));
+}
+
+export const READ: CallerStatement = {
+  kind: 'statement',
+  access: 'read',
+  text: 'READ x',
+};
+export const WRITE: CallerStatement = {
+  kind: 'statement',
+  access: 'write',
+  text: 'WRITE x y',
+};
+export const BEGIN: CallerStatement = {kind: 'begin', access: 'write'};
+export const COMMIT: CallerStatement = {kind: 'commit'};
+export const ROLLBACK: CallerStatement = {kind: 'rollback'};
