Split holding the coordinator lease from a primary change

CoordinatorLeaseHolder takes over checking and extending the lease of one change; the time is now an argument, and the fencing number is given to the constructor instead of run().

--- a/packages/gateway/src/leadership/__tests__/primary_change.test.ts
+++ b/packages/gateway/src/leadership/__tests__/primary_change.test.ts
@@ -105,26 +105,23 @@
     joined: 'joined',
     era: undefined,
   });
-  const change = new PrimaryChange(
-    {group: 'wash', from: 'a', reason},
-    {
-      vm: 'vm-a',
-      database: fake.task,
-      view,
-      members: () => ['a', 'b', 'c'].map(name => listedMember(name)),
-      isEligible: () => true,
-      isNear: member => member.member === 'c',
-      synchronousReplicas: () => 0,
-      reevaluate: async () => verdicts.shift() ?? 'replace',
-      transact: transaction => store.transact(transaction),
-      peers,
-      orders,
-      clock,
-      log: silentLogger(),
-    },
-  );
+  const change = new PrimaryChange({group: 'wash', from: 'a', reason}, 4, {
+    vm: 'vm-a',
+    database: fake.task,
+    view,
+    members: () => ['a', 'b', 'c'].map(name => listedMember(name)),
+    isEligible: () => true,
+    isNear: member => member.member === 'c',
+    synchronousReplicas: () => 0,
+    reevaluate: async () => verdicts.shift() ?? 'replace',
+    transact: transaction => store.transact(transaction),
+    peers,
+    orders,
+    clock,
+    log: silentLogger(),
+  });
   const result = async () => ({
-    outcome: await change.run(4),
+    outcome: await change.run(),
     orders: orders.received,
     record: store.rows.get('leadership/wash')?.value,
   });
--- a/packages/gateway/src/leadership/leadership_task.ts
+++ b/packages/gateway/src/leadership/leadership_task.ts
@@ -283,19 +283,16 @@
     const fence = await this.lease.acquire(group);
     if (fence === undefined || this.runningChanges.has(group)) return;
     this.runningChanges.add(group);
-    const change = new PrimaryChange(
-      {group, from, reason},
-      {
-        ...this.deps,
-        database,
-        members: () => this.deps.members(group),
-        synchronousReplicas: () => this.deps.synchronousReplicas(group),
-        reevaluate: () => this.collectVerdict(group, from),
-      },
-    );
+    const change = new PrimaryChange({group, from, reason}, fence, {
+      ...this.deps,
+      database,
+      members: () => this.deps.members(group),
+      synchronousReplicas: () => this.deps.synchronousReplicas(group),
+      reevaluate: () => this.collectVerdict(group, from),
+    });
     let outcome: PrimaryChangeOutcome = 'given-up';
     try {
-      outcome = await change.run(fence);
+      outcome = await change.run();
     } catch (err) {
       this.onFailure(err);
     }
--- a/packages/gateway/src/leadership/primary_change.ts
+++ b/packages/gateway/src/leadership/primary_change.ts
@@ -1,16 +1,10 @@
 import {
   chooseSuccessor,
   eraOf,
-  holdsCoordinatorLease,
   isOfEra,
   laterPosition,
-  latestStoreTime,
-} from '@pistachiorill/core';
-import type {
-  CoordinatorLease,
-  LogPosition,
-  SuccessorReport,
 } from '@pistachiorill/core';
+import type {LogPosition, SuccessorReport} from '@pistachiorill/core';
 import {ask, sleep} from '@pistachiorill/tasks';
 import type {StatusResult} from '../database/database_message.js';
 import {
@@ -19,6 +13,11 @@
   leadershipKey,
 } from '../fleet/fleet_rows.js';
 import type {ListedMember} from '../ports/member_directory.js';
+import {
+  CoordinatorLeaseHolder,
+  ORDER_TIMEOUT_MS,
+  STORE_RETRY_MS,
+} from './coordinator_lease_holder.js';
 import type {
   PrimaryChangeOutcome,
   PrimaryChangeRequest,
@@ -28,11 +27,9 @@
 import type {ChangeAnnouncement} from './primary_stopper.js';
 
 const STATUS_INTERVAL_MS = 60;
-const ORDER_TIMEOUT_MS = 1_000;
 const ORDER_RETRY_MS = 200;
 /** A promotion that has not taken effect after this time is ordered again. */
 const PROMOTION_WAIT_MS = 2_500;
-const STORE_RETRY_MS = 150;
 /**
  * The former primary is evaluated again if stopping its use took at least this
  * long, as it may be reachable again by then.
@@ -48,16 +45,18 @@
  * only then a successor is promoted and recorded.
  */
 export class PrimaryChange {
-  /** Fencing number of the coordinator lease under which this change runs. */
-  private fence = 0;
   private readonly startedAt: number;
+  private readonly lease: CoordinatorLeaseHolder;
   private readonly primaryStopper: PrimaryStopper;
 
+  /** Creates a change under the coordinator lease with the given number. */
   constructor(
     private readonly request: PrimaryChangeRequest,
+    private readonly fence: number,
     private readonly deps: PrimaryChangeDependencies,
   ) {
     this.startedAt = deps.clock();
+    this.lease = new CoordinatorLeaseHolder(fence, deps);
     this.primaryStopper = new PrimaryStopper(request, {
       ...deps,
       renewLeaseIfNeeded: () => this.renewLeaseIfNeeded(),
@@ -65,9 +64,8 @@
     });
   }
 
-  /** Runs the change under the coordinator lease with the given number. */
-  async run(fence: number): Promise<PrimaryChangeOutcome> {
-    this.fence = fence;
+  /** Runs the change. */
+  async run(): Promise<PrimaryChangeOutcome> {
     const announced = await this.announce();
     if (!announced) return 'lost';
     const lastPosition = await this.primaryStopper.stopAll(announced);
@@ -104,7 +102,8 @@
       const view = this.deps.view();
       const current = view.rows.leadership.get(group);
       const lease = view.rows.duty;
-      if (!current || !lease || !this.holdsLease(lease.value)) return undefined;
+      if (!current || !lease) return undefined;
+      if (!this.lease.holds(lease.value, this.deps.clock())) return undefined;
       const {record} = current;
       if (record.phase === 'settled' && record.primary !== from) {
         return undefined;
@@ -261,9 +260,10 @@
     while (this.deps.clock() < until) {
       if (ordered === 'no') {
         const lease = this.deps.view().rows.duty;
-        if (!lease || !this.holdsLease(lease.value)) {
+        const now = this.deps.clock();
+        if (!lease || !this.lease.holds(lease.value, now)) {
           // Renews the lease under the same number while no other VM holds it.
-          if (!(await this.renewLease())) return undefined;
+          if (!(await this.lease.renew(now))) return undefined;
           continue;
         }
         const result = await this.deps.orders.promote(
@@ -288,49 +288,9 @@
     return undefined;
   }
 
-  /**
-   * Extends the coordinator lease during a wait if it would otherwise end, so
-   * that no other VM starts to run the same change.
-   */
   private async renewLeaseIfNeeded(): Promise<void> {
-    const lease = this.deps.view().rows.duty;
-    if (!lease || lease.value.fence !== this.fence) return;
-    if (this.holdsLease(lease.value)) return;
-    const outcome = (await this.renewLease()) ? 'extended' : 'lost';
-    this.log('duty', {outcome});
-  }
-
-  /**
-   * Extends the coordinator lease under the same number. Returns false if the
-   * lease is lost: another VM holds it, or its row changed meanwhile.
-   */
-  private async renewLease(): Promise<boolean> {
-    const view = this.deps.view();
-    const lease = view.rows.duty;
-    if (!lease || lease.value.holder !== this.deps.vm) return false;
-    if (!isOfEra(lease.value, this.era())) return false;
-    const takenAt = latestStoreTime(view.storeClock, this.deps.clock());
-    const record: CoordinatorLease = {...lease.value, takenAt};
-    const result = await this.deps.transact({
-      expected: new Map([[COORDINATOR_LEASE_KEY, lease.version]]),
-      puts: new Map([[COORDINATOR_LEASE_KEY, JSON.stringify(record)]]),
-    });
-    if (!result.ok) await sleep(STORE_RETRY_MS);
-    return result.ok || result.err.kind !== 'conflict';
-  }
-
-  /** Whether the lease lasts long enough to order one more promotion. */
-  private holdsLease(lease: CoordinatorLease): boolean {
-    return (
-      lease.fence === this.fence &&
-      holdsCoordinatorLease(
-        this.deps.vm,
-        lease,
-        latestStoreTime(this.deps.view().storeClock, this.deps.clock()),
-        ORDER_TIMEOUT_MS,
-        this.era(),
-      )
-    );
+    const outcome = await this.lease.renewIfNeeded(this.deps.clock());
+    if (outcome) this.log('duty', {outcome});
   }
 
   /** Records the new primary and, given its term, demotes the former one. */
