Require a later term of a member that counts as promoted

Cause: a primary that was cut off when it was replaced still reports to lead its earlier term. The next change took it for a member that an earlier order had promoted, as no other report of that round had a higher term: the member that knew the later term had no free slot. The term in which the replaced primary led was not known. The log shows 'settled' with no 'ordered', and neither 'reverted' nor a second 'leadership.first', which excludes a return to the former primary and a lost record.

Change: the leadership record holds the term of its primary, and a member counts as promoted only in a later term. On related paths: an order for such a member counts as carried out only in a term after the replaced one; with missing reports the promotion is ordered again, which changes nothing for the member that leads; the primary with the highest term decides, not the first one; if only members report that never followed the replaced primary, the choice waits up to 3 s. The step 'chosen' logs each choice with its reports. This works because terms only grow and the platform promotes to the next one.

Tests: 'with an earlier primary that was cut off', 'with a promoted member and a missing report' and 'does not take an earlier primary for a promoted one'.

--- a/packages/core/src/leadership/__tests__/choose_successor.test.ts
+++ b/packages/core/src/leadership/__tests__/choose_successor.test.ts
@@ -22,6 +22,8 @@
 const BASE: SuccessorInput = {
   reports: [report('b', 3, 10), report('c', 3, 12)],
   former: undefined,
+  replacedTerm: 0,
+  lastPosition: undefined,
   listedCount: 2,
   required: undefined,
   synchronousReplicas: 0,
@@ -94,10 +96,85 @@
   ],
 ];
 
+/** An earlier primary was cut off when the replaced one was promoted. */
+const EARLIER_PRIMARY = {
+  reports: [report('b', 2, 20, IS_PRIMARY)],
+  replacedTerm: 3,
+} as const;
+
+const EARLIER_PRIMARY_CASES: ReadonlyArray<
+  readonly [string, Partial<SuccessorInput>]
+> = [
+  ['waits for the members that followed the replaced one', EARLIER_PRIMARY],
+  [
+    'still waits when it would no longer wait for other reports',
+    {...EARLIER_PRIMARY, waitedMs: 500},
+  ],
+  [
+    'recognizes its term by the last position of the replaced one',
+    {
+      ...EARLIER_PRIMARY,
+      replacedTerm: 0,
+      lastPosition: {term: 3, position: 9},
+    },
+  ],
+  [
+    'promotes it if no other member reports',
+    {...EARLIER_PRIMARY, waitedMs: 3_100},
+  ],
+  [
+    'promotes the member that followed the replaced one',
+    {
+      ...EARLIER_PRIMARY,
+      reports: [report('b', 2, 20, IS_PRIMARY), report('c', 3, 12)],
+    },
+  ],
+  [
+    'promotes it if it is the only member left',
+    {...EARLIER_PRIMARY, listedCount: 1},
+  ],
+  [
+    'accepts a primary in a later term than the replaced one led',
+    {
+      ...EARLIER_PRIMARY,
+      reports: [report('b', 4, 20, IS_PRIMARY), report('c', 4, 12)],
+    },
+  ],
+];
+
+/** A member was promoted, and a member that may lead a later term is silent. */
+const PARTIAL_REPORTS = {
+  reports: [report('b', 4, 12, IS_PRIMARY)],
+  replacedTerm: 3,
+} as const;
+
 describe('chooseSuccessor', () => {
   // Guards against lost commits, and against endless repetition of an order
   // that took effect before the coordinator that issued it stopped.
   it.each(CASES)('%s', (unusedName, change) => {
     expect(chooseSuccessor({...BASE, ...change})).toMatchSnapshot();
   });
+
+  // Guards against a primary that was replaced while it was cut off: taken for
+  // one that has been promoted since, it acknowledges writes that are lost when
+  // its successor is back.
+  it.each(EARLIER_PRIMARY_CASES)(
+    'with an earlier primary that was cut off: %s',
+    (unusedName, change) => {
+      expect(chooseSuccessor({...BASE, ...change})).toMatchSnapshot();
+    },
+  );
+
+  // Guards against a promoted member that is recorded although a later order
+  // promoted one that does not answer.
+  it.each([
+    ['waits for it', {}],
+    ['orders the promotion again', {waitedMs: 500}],
+  ] as const)(
+    'with a promoted member and a missing report: %s',
+    (unusedName, change) => {
+      const input = {...BASE, ...PARTIAL_REPORTS, ...change};
+      expect(chooseSuccessor(input)).toMatchSnapshot();
+    },
+  );
 });
--- a/packages/core/src/leadership/choose_successor.ts
+++ b/packages/core/src/leadership/choose_successor.ts
@@ -24,6 +24,13 @@
   readonly reports: readonly SuccessorReport[];
   /** The member that is replaced, if it answered. */
   readonly former: Pick<SuccessorReport, 'role' | 'term'> | undefined;
+  /**
+   * The latest term in which the replaced member is recorded to have led; 0 if
+   * none is recorded.
+   */
+  readonly replacedTerm: number;
+  /** The last log position that any VM observed at the replaced member. */
+  readonly lastPosition: LogPosition | undefined;
   /** How many members the directory lists, without the one replaced. */
   readonly listedCount: number;
   /** The log position that the successor must hold, if it is determined. */
@@ -38,7 +45,7 @@
 export type SuccessorChoice =
   | {readonly kind: 'promote'; readonly member: string}
   /** A member is already primary in a later term. */
-  | {readonly kind: 'already'; readonly member: string}
+  | {readonly kind: 'already'; readonly member: string; readonly term: number}
   | {
       readonly kind: 'wait';
       readonly reason: 'no-report' | 'behind' | 'not-all-reported';
@@ -48,6 +55,12 @@
 const REPORT_WAIT_MS = 400;
 /** How long a switchover waits for a replica to receive the whole log. */
 const CATCH_UP_WAIT_MS = 3_000;
+/**
+ * How long the choice waits for missing reports if those received come only from
+ * members that never followed the replaced primary. Promoting one of them drops
+ * all commits of its term.
+ */
+const OUTDATED_WAIT_MS = 3_000;
 
 /**
  * Chooses the member with the highest log position. With synchronous replicas,
@@ -56,13 +69,16 @@
  */
 export function chooseSuccessor(input: SuccessorInput): SuccessorChoice {
   const {reports, required, waitedMs} = input;
+  const areAllReported = reports.length >= input.listedCount;
   const promoted = findPromotedMember(input);
-  if (promoted) return {kind: 'already', member: promoted.member};
-  const best = [...reports].sort(comparePreference)[0];
+  if (promoted && areAllReported) {
+    return {kind: 'already', member: promoted.member, term: promoted.term};
+  }
+  const best = promoted ?? [...reports].sort(comparePreference)[0];
   if (!best) return {kind: 'wait', reason: 'no-report'};
-  if (reports.length < input.listedCount) {
-    const needsAllReports = input.synchronousReplicas > 0;
-    if (needsAllReports || waitedMs < REPORT_WAIT_MS) {
+  if (!areAllReported) {
+    const needsAllReports = input.synchronousReplicas > 0 && !promoted;
+    if (needsAllReports || waitedMs < reportWaitMs(input)) {
       return {kind: 'wait', reason: 'not-all-reported'};
     }
   }
@@ -73,22 +89,27 @@
   ) {
     return {kind: 'wait', reason: 'behind'};
   }
+  // A member that is primary already is ordered as well if reports are missing:
+  // a later promotion may be among them, and the order then overrides it.
   return {kind: 'promote', member: best.member};
 }
 
 /**
  * Returns the member that an earlier order has promoted, if any: it is primary
- * in the highest term that any member reports, and the former primary is not
- * primary in that term.
+ * in the highest term that any member reports, and in a later term than the
+ * replaced member led. A member that was replaced before, while it was cut off,
+ * still reports to be primary, but in an earlier term.
  */
-function findPromotedMember({
-  reports,
-  former,
-}: SuccessorInput): SuccessorReport | undefined {
-  const primary = reports.find(item => item.role === 'primary');
-  if (!primary) return undefined;
-  const terms = reports.map(item => item.term);
-  if (Math.max(...terms) > primary.term) return undefined;
+function findPromotedMember(
+  input: SuccessorInput,
+): SuccessorReport | undefined {
+  const {reports, former, replacedTerm, lastPosition} = input;
+  const highestTerm = Math.max(...reports.map(item => item.term));
+  const primary = reports.find(
+    item => item.role === 'primary' && item.term === highestTerm,
+  );
+  if (!primary || primary.term <= replacedTerm) return undefined;
+  if (lastPosition && primary.term < lastPosition.term) return undefined;
   if (!former) return primary;
   if (former.role === 'primary') {
     return primary.term > former.term ? primary : undefined;
@@ -96,6 +117,14 @@
   return primary.term >= former.term ? primary : undefined;
 }
 
+/** How long to wait for missing reports, in milliseconds. */
+function reportWaitMs(input: SuccessorInput): number {
+  const {reports, replacedTerm, lastPosition} = input;
+  const knownTerm = Math.max(replacedTerm, lastPosition?.term ?? 0);
+  const areOutdated = reports.every(item => item.term < knownTerm);
+  return areOutdated ? OUTDATED_WAIT_MS : REPORT_WAIT_MS;
+}
+
 /** Sorts the preferred successor first. */
 function comparePreference(a: SuccessorReport, b: SuccessorReport): number {
   return (
--- a/packages/core/src/leadership/leadership_record.ts
+++ b/packages/core/src/leadership/leadership_record.ts
@@ -14,12 +14,19 @@
   | {
       readonly phase: 'settled';
       readonly primary: string;
+      /** The term in which the primary leads; left out if it is unknown. */
+      readonly term?: number | undefined;
     }
   | {
       /** No VM uses any member as primary until the change is settled. */
       readonly phase: 'moving';
       /** The member that is replaced. */
       readonly from: string;
+      /**
+       * The latest term in which the replaced member is recorded to have led;
+       * left out if it is unknown.
+       */
+      readonly fromTerm?: number | undefined;
       readonly reason: PrimaryChangeReason;
     };
 
--- a/packages/gateway/src/fleet/fleet_rows.ts
+++ b/packages/gateway/src/fleet/fleet_rows.ts
@@ -55,11 +55,19 @@
 /** When a leadership record was written; left out in era 0. */
 const STAMP = {era: VERSION.optional(), origin: VERSION.optional()};
 
+const TERM = z.number().int().min(0).max(Number.MAX_SAFE_INTEGER);
+
 const LEADERSHIP_SCHEMA = z.discriminatedUnion('phase', [
-  z.object({phase: z.literal('settled'), primary: z.string(), ...STAMP}),
+  z.object({
+    phase: z.literal('settled'),
+    primary: z.string(),
+    term: TERM.optional(),
+    ...STAMP,
+  }),
   z.object({
     phase: z.literal('moving'),
     from: z.string(),
+    fromTerm: TERM.optional(),
     reason: z.enum(['unreachable', 'leaving', 'gone']),
     ...STAMP,
   }),
--- a/packages/gateway/src/leadership/__tests__/primary_change.test.ts
+++ b/packages/gateway/src/leadership/__tests__/primary_change.test.ts
@@ -23,11 +23,15 @@
 
 const decoder = new RowDecoder(() => undefined);
 
-type OrderFaultMode = 'done' | 'rejected-once' | 'answer-lost-once';
+type OrderFaultMode =
+  'done' | 'rejected-once' | 'answer-lost-once' | 'slow-once';
+
+/** How long a slow promotion takes. */
+const SLOW_PROMOTION_MS = 300;
 
 /**
- * Promotes fake members. The fault mode applies to the next order only, which
- * is rejected or loses its answer.
+ * Promotes fake members to the next term. The fault mode applies to the next
+ * order only, which is rejected, loses its answer or takes effect later.
  */
 class FakeOrders extends PrimaryPromoter {
   readonly received: string[] = [];
@@ -43,10 +47,10 @@
     this.faultMode = 'done';
     const err: PromotionError = {kind: 'rejected', detail: 'not running'};
     if (faultMode === 'rejected-once') return fail(err);
-    const promoted = this.group.member(member);
-    if (promoted.role !== 'primary') {
-      promoted.role = 'primary';
-      promoted.term++;
+    if (faultMode === 'slow-once') {
+      setTimeout(() => this.apply(member), SLOW_PROMOTION_MS);
+    } else {
+      this.apply(member);
     }
     if (faultMode === 'answer-lost-once') {
       const lost: PromotionError = {kind: 'unknown-outcome', detail: 'lost'};
@@ -54,6 +58,17 @@
     }
     return ok(undefined);
   }
+
+  private apply(name: string): void {
+    const promoted = this.group.member(name);
+    const terms = ['a', 'b', 'c'].map(item => this.group.member(item).term);
+    const highestTerm = Math.max(...terms);
+    const isPresentPrimary =
+      promoted.role === 'primary' && promoted.term === highestTerm;
+    if (isPresentPrimary) return;
+    promoted.role = 'primary';
+    promoted.term = highestTerm + 1;
+  }
 }
 
 /** Peers that stop at once; those in `silent` do not respond. */
@@ -199,6 +214,36 @@
     expect(await started.result()).toMatchSnapshot();
   });
 
+  // Guards against a primary that was replaced while it was cut off (review/1):
+  // it was recorded as the successor of its own successor, without an order.
+  // Promoted because no other member is left, it is recorded only once it leads
+  // the new term.
+  it.each([
+    ['a replica is busy at first', 'busy'],
+    ['no replica answers', 'silent'],
+  ] as const)(
+    'does not take an earlier primary for a promoted one: %s',
+    async (unusedName, replica) => {
+      const started = start('unreachable');
+      const {fake, store, orders} = started;
+      const term = 2;
+      store.put('leadership/wash', {phase: 'settled', primary: 'a', term});
+      fake.member('a').mode = 'silent';
+      fake.member('a').term = 2;
+      fake.member('b').role = 'primary';
+      const third = fake.member('c');
+      third.term = 2;
+      third.received = {term: 2, position: 12};
+      if (replica === 'busy') {
+        third.errors.push({command: 'status', kind: 'busy'});
+      } else {
+        third.mode = 'silent';
+        orders.faultMode = 'slow-once';
+      }
+      expect(await started.result()).toMatchSnapshot();
+    },
+  );
+
   // Guards against a return to the former primary by a VM whose coordinator
   // lease was taken over meanwhile: the promotion that the next coordinator
   // ordered may take effect later. Found by trouble-1 --seed 362867606744 of
--- a/packages/gateway/src/leadership/primary_change.ts
+++ b/packages/gateway/src/leadership/primary_change.ts
@@ -4,7 +4,12 @@
   isOfEra,
   laterPosition,
 } from '@pistachiorill/core';
-import type {LogPosition, SuccessorReport} from '@pistachiorill/core';
+import type {
+  LeadershipRecord,
+  LogPosition,
+  SuccessorChoice,
+  SuccessorReport,
+} from '@pistachiorill/core';
 import {ask, sleep} from '@pistachiorill/tasks';
 import type {StatusResult} from '../database/database_message.js';
 import {
@@ -48,6 +53,8 @@
   private readonly startedAt: number;
   private readonly lease: CoordinatorLeaseHolder;
   private readonly primaryStopper: PrimaryStopper;
+  /** The last choice that was logged, as text. */
+  private loggedChoice = '';
 
   /** Creates a change under the coordinator lease with the given number. */
   constructor(
@@ -108,7 +115,8 @@
       if (record.phase === 'settled' && record.primary !== from) {
         return undefined;
       }
-      const moving = {phase: 'moving' as const, from, reason};
+      const fromTerm = recordedTerm(record, from);
+      const moving = {phase: 'moving' as const, from, fromTerm, reason};
       const result = await this.deps.transact({
         expected: new Map([
           [leadershipKey(group), current.version],
@@ -119,9 +127,9 @@
         ]),
       });
       if (result.ok) {
-        this.log('announced', {version: result.value.version});
+        this.log('announced', {version: result.value.version, fromTerm});
         const origin = record.phase === 'settled' ? 'own-move' : 'taken-over';
-        return {...result.value, origin};
+        return {...result.value, fromTerm, origin};
       }
       this.log('announce-failed', {err: result.err});
       await sleep(STORE_RETRY_MS);
@@ -146,7 +154,8 @@
       lease.value.fence === this.fence &&
       isOfEra(lease.value, this.era());
     if (!isOwn || current?.record.phase !== 'moving') return undefined;
-    const record = {phase: 'settled' as const, primary: from};
+    const term = announced.fromTerm;
+    const record = {phase: 'settled' as const, primary: from, term};
     const result = await this.deps.transact({
       expected: new Map([
         [leadershipKey(group), current.version],
@@ -169,6 +178,7 @@
     lastPosition: LogPosition | undefined,
   ): Promise<PrimaryChangeOutcome> {
     const {from, reason} = this.request;
+    const replacedTerm = announced.fromTerm ?? 0;
     const choosingSince = this.deps.clock();
     // In another era of the store the lease of this change does not count.
     const era = eraOf(announced.version);
@@ -194,14 +204,20 @@
       const choice = chooseSuccessor({
         reports,
         former: former.ok ? former.value : undefined,
+        replacedTerm,
+        lastPosition,
         listedCount: others.length,
         required,
         synchronousReplicas: this.deps.synchronousReplicas(),
         waitedMs: now - choosingSince,
       });
-      if (choice.kind === 'already') return this.settle(choice.member);
+      this.logChoice(choice, {replacedTerm, lastPosition, reports});
+      if (choice.kind === 'already') {
+        return this.settle(choice.member, choice.term);
+      }
       if (choice.kind === 'promote') {
-        const term = await this.promote(choice.member, highestTerm);
+        const minTerm = Math.max(highestTerm, replacedTerm + 1);
+        const term = await this.promote(choice.member, minTerm);
         if (term !== undefined) return this.settle(choice.member, term);
       } else if (
         choice.reason === 'no-report' &&
@@ -247,12 +263,13 @@
   }
 
   /**
-   * Orders the promotion and waits until the member is primary in a term that
-   * no other member exceeds; returns that term.
+   * Orders the promotion and waits until the member is primary in `minTerm` or a
+   * later term; returns its term. A member that was primary before reports to be
+   * primary in its earlier term until the order takes effect.
    */
   private async promote(
     member: string,
-    highestTerm: number,
+    minTerm: number,
   ): Promise<number | undefined> {
     const {group} = this.request;
     const until = this.deps.clock() + PROMOTION_WAIT_MS;
@@ -279,7 +296,7 @@
       if (
         status.ok &&
         status.value.role === 'primary' &&
-        status.value.term >= highestTerm
+        status.value.term >= minTerm
       ) {
         return status.value.term;
       }
@@ -293,13 +310,13 @@
     if (outcome) this.log('duty', {outcome});
   }
 
-  /** Records the new primary and, given its term, demotes the former one. */
+  /** Records the new primary and demotes the former one. */
   private async settle(
     primary: string,
-    term?: number,
+    term: number,
   ): Promise<PrimaryChangeOutcome> {
     const {group, from} = this.request;
-    const record = {phase: 'settled' as const, primary};
+    const record = {phase: 'settled' as const, primary, term};
     while (this.isWithinTimeLimit()) {
       const current = this.deps.view().rows.leadership.get(group);
       if (!current || current.record.phase !== 'moving') return 'lost';
@@ -310,10 +327,8 @@
         ]),
       });
       if (result.ok) {
-        this.log('settled', {primary, version: result.value.version});
-        if (term !== undefined) {
-          this.deps.database.tell({kind: 'step-down', member: from, term});
-        }
+        this.log('settled', {primary, term, version: result.value.version});
+        this.deps.database.tell({kind: 'step-down', member: from, term});
         return 'settled';
       }
       await sleep(STORE_RETRY_MS);
@@ -330,6 +345,14 @@
     return this.deps.clock() - this.startedAt < CHANGE_TIMEOUT_MS;
   }
 
+  /** Logs a choice, with what it was based on, if it differs from the last. */
+  private logChoice(choice: SuccessorChoice, inputs: object): void {
+    const key = JSON.stringify(choice);
+    if (key === this.loggedChoice) return;
+    this.loggedChoice = key;
+    this.log('chosen', {choice, ...inputs});
+  }
+
   private log(step: string, details: object): void {
     this.deps.log.info(
       {
@@ -344,3 +367,14 @@
     );
   }
 }
+
+/** Returns the term in which a member is recorded to lead or to have led. */
+function recordedTerm(
+  record: LeadershipRecord,
+  member: string,
+): number | undefined {
+  if (record.phase === 'settled') {
+    return record.primary === member ? record.term : undefined;
+  }
+  return record.from === member ? record.fromTerm : undefined;
+}
--- a/packages/gateway/src/leadership/primary_stopper.ts
+++ b/packages/gateway/src/leadership/primary_stopper.ts
@@ -21,6 +21,8 @@
 export interface ChangeAnnouncement {
   readonly version: number;
   readonly storeMs: number;
+  /** The term in which the replaced member is recorded to have led. */
+  readonly fromTerm: number | undefined;
   /** Whether an earlier coordinator may already have ordered a promotion. */
   readonly origin: 'own-move' | 'taken-over';
 }
