Record a new primary only over the announcement of the same change

Cause: settle() took the record as it was at the time of the write for the condition of the write, and required only that a change was announced. A coordinator that was cut off from the store after its order replaced the announcement of the next coordinator, which had ordered the promotion of another member. The versions in the log exclude a write that was carried out late ('settled' has 42, the announcement of the next coordinator 38, its own 19), and the times of 'duty.taken' exclude an order before the lease ended.

Change: settle() and revert() write on the condition that the record is still the announcement of their change; a change whose announcement was replaced, or whose lease has another number, ends as 'lost' and logs it. This works because every coordinator announces a change before its first order. On related paths: a change extended a lease that its VM held under another number, without a pause, and took over the announcement of a change that replaces another member. Collecting the members' reports moves to successor_reports.ts.

Tests that failed on: 'ends its change after another coordinator announced the change anew' (expected lost and moving, received settled and c), 'does not extend a lease that its VM holds under another number' (given-up after 20 s, lease extended), 'orders nothing if another primary is being replaced' (ordered and settled c).

--- a/packages/gateway/src/leadership/__tests__/primary_change.test.ts
+++ b/packages/gateway/src/leadership/__tests__/primary_change.test.ts
@@ -36,6 +36,8 @@
 class FakeOrders extends PrimaryPromoter {
   readonly received: string[] = [];
   faultMode: OrderFaultMode = 'done';
+  /** Called after each order, before it is answered. */
+  onOrder: () => void = () => undefined;
 
   constructor(private readonly group: FakeGroup) {
     super();
@@ -45,6 +47,7 @@
     this.received.push(`${member} by ${holder}, ${fence}`);
     const {faultMode} = this;
     this.faultMode = 'done';
+    this.onOrder();
     const err: PromotionError = {kind: 'rejected', detail: 'not running'};
     if (faultMode === 'rejected-once') return fail(err);
     if (faultMode === 'slow-once') {
@@ -197,6 +200,16 @@
     'unreachable',
     ({store}) => store.put('leadership/wash', {phase: 'settled', primary: 'c'}),
   ],
+  [
+    'orders nothing if another primary is being replaced',
+    'unreachable',
+    ({store}) =>
+      store.put('leadership/wash', {
+        phase: 'moving',
+        from: 'b',
+        reason: 'leaving',
+      }),
+  ],
   [
     'orders nothing if another VM took the coordinator lease',
     'unreachable',
@@ -244,6 +257,46 @@
     },
   );
 
+  // Guards against a former coordinator (review/4): it recorded the member of its
+  // own order over the announcement of its successor, which had meanwhile ordered
+  // the promotion of another one.
+  it.each([
+    ['announced the change anew', 'moving'],
+    ['ended the change', 'settled'],
+    ['took the lease for another group', 'unchanged'],
+  ] as const)(
+    'ends its change after another coordinator %s',
+    async (unusedName, row) => {
+      const started = start('unreachable');
+      const {fake, store, orders} = started;
+      fake.member('a').mode = 'silent';
+      orders.onOrder = () => {
+        store.put('duty', {holder: 'vm-b', fence: 5, takenAt: 1_000_000});
+        const record = {
+          moving: {phase: 'moving', from: 'a', reason: 'unreachable'},
+          settled: {phase: 'settled', primary: 'b', term: 3},
+          unchanged: undefined,
+        }[row];
+        if (record) store.put('leadership/wash', record);
+      };
+      expect(await started.result()).toMatchSnapshot();
+    },
+  );
+
+  // Guards against endless writes without a pause by a change whose VM lost the
+  // coordinator lease and holds it again for another change.
+  it('does not extend a lease that its VM holds under another number', async () => {
+    const started = start('unreachable');
+    const {fake, store, orders} = started;
+    fake.member('a').mode = 'silent';
+    const duty = {holder: 'vm-a', fence: 6, takenAt: 1_000_000};
+    orders.faultMode = 'rejected-once';
+    orders.onOrder = () => store.put('duty', duty);
+    const result = await started.result();
+    const lease = JSON.parse(store.rows.get('duty')?.value ?? '');
+    expect({...result, lease}).toMatchSnapshot();
+  });
+
   // Guards against a return to the former primary by a VM whose coordinator
   // lease was taken over meanwhile: the promotion that the next coordinator
   // ordered may take effect later. Found by trouble-1 --seed 362867606744 of
--- a/packages/gateway/src/leadership/coordinator_lease_holder.ts
+++ b/packages/gateway/src/leadership/coordinator_lease_holder.ts
@@ -41,6 +41,11 @@
     );
   }
 
+  /** Whether the lease has been acquired under another number since. */
+  isTakenOver(): boolean {
+    return this.deps.view().rows.duty?.value.fence !== this.fence;
+  }
+
   /**
    * Extends the lease during a wait if it would otherwise end, so that no other
    * VM starts to run the same change. Returns undefined if that is not needed.
@@ -54,12 +59,14 @@
 
   /**
    * Extends the lease under the same number. Returns false if the lease is lost:
-   * another VM holds it, or its row changed meanwhile.
+   * another VM holds it, this VM holds it under another number, or its row
+   * changed meanwhile.
    */
   async renew(now: number): Promise<boolean> {
     const view = this.deps.view();
     const lease = view.rows.duty;
     if (!lease || lease.value.holder !== this.deps.vm) return false;
+    if (lease.value.fence !== this.fence) return false;
     if (!isOfEra(lease.value, this.era())) return false;
     const takenAt = latestStoreTime(view.storeClock, now);
     const record: CoordinatorLease = {...lease.value, takenAt};
--- a/packages/gateway/src/leadership/primary_change.ts
+++ b/packages/gateway/src/leadership/primary_change.ts
@@ -8,16 +8,13 @@
   LeadershipRecord,
   LogPosition,
   SuccessorChoice,
-  SuccessorReport,
 } from '@pistachiorill/core';
-import {ask, sleep} from '@pistachiorill/tasks';
-import type {StatusResult} from '../database/database_message.js';
+import {sleep} from '@pistachiorill/tasks';
 import {
   COORDINATOR_LEASE_KEY,
   encodeLeadership,
   leadershipKey,
 } from '../fleet/fleet_rows.js';
-import type {ListedMember} from '../ports/member_directory.js';
 import {
   CoordinatorLeaseHolder,
   ORDER_TIMEOUT_MS,
@@ -30,6 +27,7 @@
 } from './primary_change_dependencies.js';
 import {PrimaryStopper} from './primary_stopper.js';
 import type {ChangeAnnouncement} from './primary_stopper.js';
+import {collectReports, statusOf} from './successor_reports.js';
 
 const STATUS_INTERVAL_MS = 60;
 const ORDER_RETRY_MS = 200;
@@ -93,7 +91,7 @@
     if (reason !== 'unreachable' || waitedMs < REEVALUATE_AFTER_MS) {
       return undefined;
     }
-    const former = await this.statusOf(from);
+    const former = await statusOf(this.deps.database, from);
     if (!former.ok || former.value.role !== 'primary') return undefined;
     if ((await this.deps.reevaluate()) === 'replace') return undefined;
     return this.revert(announced);
@@ -112,9 +110,9 @@
       if (!current || !lease) return undefined;
       if (!this.lease.holds(lease.value, this.deps.clock())) return undefined;
       const {record} = current;
-      if (record.phase === 'settled' && record.primary !== from) {
-        return undefined;
-      }
+      const recorded =
+        record.phase === 'settled' ? record.primary : record.from;
+      if (recorded !== from) return undefined;
       const fromTerm = recordedTerm(record, from);
       const moving = {phase: 'moving' as const, from, fromTerm, reason};
       const result = await this.deps.transact({
@@ -146,19 +144,18 @@
     announced: ChangeAnnouncement,
   ): Promise<PrimaryChangeOutcome | undefined> {
     const {group, from} = this.request;
-    const {duty: lease, leadership} = this.deps.view().rows;
-    const current = leadership.get(group);
+    const {duty: lease} = this.deps.view().rows;
     const isOwn =
       announced.origin === 'own-move' &&
       lease?.value.holder === this.deps.vm &&
       lease.value.fence === this.fence &&
       isOfEra(lease.value, this.era());
-    if (!isOwn || current?.record.phase !== 'moving') return undefined;
+    if (!isOwn) return undefined;
     const term = announced.fromTerm;
     const record = {phase: 'settled' as const, primary: from, term};
     const result = await this.deps.transact({
       expected: new Map([
-        [leadershipKey(group), current.version],
+        [leadershipKey(group), announced.version],
         [COORDINATOR_LEASE_KEY, lease.version],
       ]),
       puts: new Map([
@@ -183,11 +180,12 @@
     // In another era of the store the lease of this change does not count.
     const era = eraOf(announced.version);
     while (this.isWithinTimeLimit() && this.era() === era) {
+      if (this.isSuperseded(announced)) return 'lost';
       const now = this.deps.clock();
       const others = this.deps.members().filter(item => item.member !== from);
       const [reports, former] = await Promise.all([
-        this.reportsOf(others),
-        this.statusOf(from),
+        collectReports(others, this.deps),
+        statusOf(this.deps.database, from),
       ]);
       const terms = [...reports, ...(former.ok ? [former.value] : [])];
       const highestTerm = Math.max(
@@ -213,12 +211,18 @@
       });
       this.logChoice(choice, {replacedTerm, lastPosition, reports});
       if (choice.kind === 'already') {
-        return this.settle(choice.member, choice.term);
+        return this.settle(announced, choice.member, choice.term);
       }
       if (choice.kind === 'promote') {
         const minTerm = Math.max(highestTerm, replacedTerm + 1);
         const term = await this.promote(choice.member, minTerm);
-        if (term !== undefined) return this.settle(choice.member, term);
+        if (term !== undefined) {
+          return this.settle(announced, choice.member, term);
+        }
+        if (this.lease.isTakenOver()) {
+          this.log('duty', {outcome: 'lost'});
+          return 'lost';
+        }
       } else if (
         choice.reason === 'no-report' &&
         former.ok &&
@@ -233,35 +237,6 @@
     return 'given-up';
   }
 
-  /** Returns the reports of the members that answer. */
-  private async reportsOf(
-    members: readonly ListedMember[],
-  ): Promise<readonly SuccessorReport[]> {
-    const reports = await Promise.all(
-      members.map(async listed => {
-        const status = await this.statusOf(listed.member);
-        if (!status.ok) return undefined;
-        const {role, term, received} = status.value;
-        const report: SuccessorReport = {
-          member: listed.member,
-          role,
-          term,
-          received,
-          eligibility: this.deps.isEligible(listed) ? 'eligible' : 'leaving',
-          proximity: this.deps.isNear(listed) ? 'near' : 'far',
-        };
-        return report;
-      }),
-    );
-    return reports.filter(item => item !== undefined);
-  }
-
-  private statusOf(member: string): Promise<StatusResult> {
-    return ask(reply =>
-      this.deps.database.tell({kind: 'status', member, reply}),
-    );
-  }
-
   /**
    * Orders the promotion and waits until the member is primary in `minTerm` or a
    * later term; returns its term. A member that was primary before reports to be
@@ -292,7 +267,7 @@
         if (result.ok) ordered = 'yes';
         else await sleep(ORDER_RETRY_MS);
       }
-      const status = await this.statusOf(member);
+      const status = await statusOf(this.deps.database, member);
       if (
         status.ok &&
         status.value.role === 'primary' &&
@@ -310,18 +285,22 @@
     if (outcome) this.log('duty', {outcome});
   }
 
-  /** Records the new primary and demotes the former one. */
+  /**
+   * Records the new primary and demotes the former one. Only the announcement of
+   * this change is replaced: another coordinator announces the change anew
+   * before it orders the promotion of a member of its own choice.
+   */
   private async settle(
+    announced: ChangeAnnouncement,
     primary: string,
     term: number,
   ): Promise<PrimaryChangeOutcome> {
     const {group, from} = this.request;
     const record = {phase: 'settled' as const, primary, term};
     while (this.isWithinTimeLimit()) {
-      const current = this.deps.view().rows.leadership.get(group);
-      if (!current || current.record.phase !== 'moving') return 'lost';
+      if (this.isSuperseded(announced)) return 'lost';
       const result = await this.deps.transact({
-        expected: new Map([[leadershipKey(group), current.version]]),
+        expected: new Map([[leadershipKey(group), announced.version]]),
         puts: new Map([
           [leadershipKey(group), encodeLeadership(record, this.era())],
         ]),
@@ -331,11 +310,30 @@
         this.deps.database.tell({kind: 'step-down', member: from, term});
         return 'settled';
       }
+      this.log('settle-failed', {primary, term, err: result.err});
       await sleep(STORE_RETRY_MS);
     }
     return 'given-up';
   }
 
+  /**
+   * Whether the record was written again since the announcement of this change,
+   * so that another VM carries on with it or has ended it.
+   */
+  private isSuperseded(announced: ChangeAnnouncement): boolean {
+    const {rows, version} = this.deps.view();
+    if (version < announced.version) return false;
+    const current = rows.leadership.get(this.request.group);
+    if (current?.version === announced.version) return false;
+    this.log('superseded', {
+      announced: announced.version,
+      version: current?.version,
+      record: current?.record,
+      coordinator: rows.duty?.value.holder,
+    });
+    return true;
+  }
+
   /** The era of the store's rows. */
   private era(): number {
     return eraOf(this.deps.view().version);
