Take the grace period in seconds, fractions included

Cause: the template turned seconds into milliseconds by appending three zeros, which makes 6.5000 of 6.5, and the settings accepted whole numbers only. With 6.0 the process started with a grace period of 6 ms. The error line, the same at each start, excludes a damaged file.

Times are rounded down to whole milliseconds, kept within the range of timers, and a bound without a value counts as left out.

--- a/packages/gateway/src/daemon/gateway_settings.ts
+++ b/packages/gateway/src/daemon/gateway_settings.ts
@@ -7,6 +7,44 @@
   .regex(/^[^\s:]+:\d{1,5}$/, 'expected an address such as 10.0.0.1:7000');
 const NAME = z.string().min(1, 'expected a name');
 
+/** Node.js fires timers with a longer delay at once. */
+const MAX_TIMER_MS = 2 ** 31 - 1;
+
+const DEFAULT_GRACE_MS = 6_000;
+const DEFAULT_APPLY_MS = 3_000;
+
+/** A number that may be a fraction; an empty setting counts as left out. */
+function optionalNumber(schema: z.ZodNumber) {
+  return z.preprocess(
+    value => (value === '' ? undefined : value),
+    z.coerce.number().pipe(schema).optional(),
+  );
+}
+
+/** Returns a time in whole milliseconds within the range of timers. */
+function toTimerMs(ms: number): number {
+  return Math.min(MAX_TIMER_MS, Math.max(1, Math.floor(ms)));
+}
+
+const LIMITS_SCHEMA = z
+  .object({
+    /** How long a graceful stop may take, in seconds. */
+    grace_s: optionalNumber(z.number().min(0)),
+    /** The same in milliseconds; used if `grace_s` is left out. */
+    grace_ms: optionalNumber(z.number().min(0)),
+    /** Within which time a change of the configuration must be in force. */
+    configuration_apply_ms: optionalNumber(z.number().positive()),
+  })
+  .prefault({})
+  .transform(({grace_s, grace_ms, configuration_apply_ms}) => ({
+    grace_ms: toTimerMs(
+      grace_s === undefined ? (grace_ms ?? DEFAULT_GRACE_MS) : grace_s * 1_000,
+    ),
+    configuration_apply_ms: toTimerMs(
+      configuration_apply_ms ?? DEFAULT_APPLY_MS,
+    ),
+  }));
+
 const SETTINGS_SCHEMA = z.object({
   vm: z.object({
     name: NAME,
@@ -23,14 +61,7 @@
   }),
   store: z.object({address: ADDRESS}),
   orders: z.object({address: ADDRESS}).optional(),
-  limits: z
-    .object({
-      /** How long a graceful stop may take. */
-      grace_ms: z.coerce.number().int().positive().default(6_000),
-      /** Within which time a change of the configuration must be in force. */
-      configuration_apply_ms: z.coerce.number().int().positive().default(3_000),
-    })
-    .prefault({}),
+  limits: LIMITS_SCHEMA,
   log: z
     .object({
       level: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
