--- a/packages/gateway/src/session/session_task.ts
+++ b/packages/gateway/src/session/session_task.ts
@@ -1,10 +1,5 @@
 import {ok} from '@pistachiorill/core';
-import type {
-  LogPosition,
-  PreparedStatement,
-  Result,
-  StatementAccess,
-} from '@pistachiorill/core';
+import type {LogPosition, Result, StatementAccess} from '@pistachiorill/core';
 import {Task} from '@pistachiorill/tasks';
 import type {
   CallerEvent,
@@ -13,9 +8,11 @@
   SessionRefusal,
   SessionReply,
 } from '../ports/caller_link.js';
-import type {MemberAnswer, MemberCommand} from '../ports/member_link.js';
+import type {MemberAnswer} from '../ports/member_link.js';
 import {runFirstStatement} from './first_statement.js';
 import {IdleTimer} from './idle_timer.js';
+import {memberWorkOf} from './member_work.js';
+import type {MemberStatement, MemberWork} from './member_work.js';
 import {resolveCaller} from './route_filter.js';
 import type {SessionMessage, SessionDependencies} from './session_message.js';
 import {SessionClosing} from './session_closing.js';
@@ -213,16 +210,9 @@
         await this.rollback();
         return;
       case 'commit':
-        await this.run(id, {kind: 'commit'}, 'commit', undefined, receivedAt);
-        return;
-      case 'statement': {
-        const {access, text} = statement;
-        const command: MemberCommand = {kind: 'statement', text};
-        await this.run(id, command, access, undefined, receivedAt);
-        return;
-      }
+      case 'statement':
       case 'execute':
-        await this.execute(id, statement, receivedAt);
+        await this.run(id, statement, receivedAt);
         return;
     }
   }
@@ -252,27 +242,17 @@
     await transaction.transaction.rollback(this.settings.values);
   }
 
-  private async execute(
+  private async run(
     id: string,
-    {name, parameters}: Extract<CallerStatement, {kind: 'execute'}>,
+    statement: MemberStatement,
     receivedAt: number,
   ): Promise<void> {
-    const prepared = this.settings.prepared(name);
-    if (!prepared) {
-      this.replies.refuse({kind: 'unknown-statement', detail: name});
+    const work = memberWorkOf(statement, this.settings);
+    if (!work.ok) {
+      this.replies.refuse(work.err);
       return;
     }
-    const command: MemberCommand = {kind: 'execute', name, parameters};
-    await this.run(id, command, prepared.access, prepared, receivedAt);
-  }
-
-  private async run(
-    id: string,
-    command: MemberCommand,
-    access: StatementAccess | 'commit',
-    prepared: PreparedStatement | undefined,
-    receivedAt: number,
-  ): Promise<void> {
+    const {access} = work.value;
     const {transaction} = this;
     if (access === 'commit' && transaction.kind === 'none') {
       const detail = 'no transaction is open';
@@ -282,14 +262,12 @@
     const result =
       transaction.kind === 'open'
         ? await transaction.transaction.run({
+            ...work.value,
             id,
-            command,
-            access,
-            prepared,
             values: this.settings.values,
             deadline: receivedAt + transaction.transaction.statementTimeoutMs,
           })
-        : await this.runFirst(id, command, access, prepared, receivedAt);
+        : await this.runFirst(id, work.value, receivedAt);
     if (!result.ok) {
       const inTransaction = transaction.kind !== 'none' && access !== 'commit';
       this.transaction = {kind: inTransaction ? 'failed' : 'none'};
@@ -309,20 +287,16 @@
   /** Runs a single statement, or the first one of a transaction. */
   private async runFirst(
     id: string,
-    command: MemberCommand,
-    access: StatementAccess | 'commit',
-    prepared: PreparedStatement | undefined,
+    work: MemberWork,
     receivedAt: number,
   ): Promise<Result<MemberAnswer, SessionRefusal>> {
     const {transaction, database, key} = this;
     const result = await runFirstStatement(this.deps, {
+      ...work,
       id,
       database,
       key,
       receivedAt,
-      command,
-      access,
-      prepared,
       begin: transaction.kind === 'begun' ? transaction.access : undefined,
       values: new Map(this.settings.values),
       seen: this.seen,
