Roll a transaction back when its key moves to another workspace

Cause: after a change of the configuration a session looked up whether its key is known, not whether it still belongs to the workspace that the open transaction runs for. 'configuration.applied' excludes a change that was not applied; all statements succeeded on their first connection, which excludes a pooled connection of the other workspace.

Change: an open transaction knows its workspace and is rolled back when a new configuration gives its key to another one; the session stays open. On the related path, a route that is opened to all while its key is withdrawn or moved, it went on as well. The MySQL daemon compares workspace and key id: read, not affected. Each rollback by the VM is logged (transaction.rolled-back) and counted, as the log could not tell one before.

Test: 'checks an open transaction if the key ...'. Without the fix the three cases in which the workspace loses the key get 'signed by a' for the write and the commit instead of malformed and aborted.

--- a/packages/gateway/src/session/__tests__/session_task.test.ts
+++ b/packages/gateway/src/session/__tests__/session_task.test.ts
@@ -1,4 +1,5 @@
 import {afterEach, describe, expect, it} from 'vitest';
+import type {DatabaseRoute, RuntimeConfiguration} from '@pistachiorill/core';
 import type {CallerStatement} from '../../ports/caller_link.js';
 import type {FakeGroup} from '../../testing/fake_group.js';
 import {
@@ -23,6 +24,22 @@
   return started;
 }
 
+/** A configuration in which a workspace, if it exists, holds the key. */
+function withKey(
+  holder: string | undefined,
+  route: Partial<DatabaseRoute>,
+): RuntimeConfiguration {
+  const limit = {rate: 9, burst: 9};
+  const names = ['growers', 'trucks'];
+  const changed = {...SESSION_CONFIGURATION.routes.get('wash-db'), ...route};
+  return {
+    ...SESSION_CONFIGURATION,
+    routes: new Map([['wash-db', changed as DatabaseRoute]]),
+    workspaces: new Map(names.map(name => [name, {name, limit, regions: []}])),
+    keys: new Map(holder === undefined ? [] : [['k1', holder]]),
+  };
+}
+
 describe('SessionTask', () => {
   // Guards against statements of a transaction that run outside of it, and
   // against a commit that is acknowledged without a member's confirmation.
@@ -125,6 +142,50 @@
     }).toMatchSnapshot();
   });
 
+  // Guards against statements of a transaction that run for a workspace which no
+  // longer holds the caller's key (review/2), and against transactions that fail
+  // by changes that concern them only from the next one on.
+  it.each<[string, Partial<DatabaseRoute>, string | undefined, string]>([
+    ['moves to another workspace', {}, 'growers', 'trucks'],
+    ['stays with its workspace', {}, 'growers', 'growers'],
+    [
+      'moves to another workspace as the route is opened to all',
+      {audience: 'open'},
+      'growers',
+      'trucks',
+    ],
+    [
+      'is withdrawn as the route is opened to all',
+      {audience: 'open'},
+      'growers',
+      'none',
+    ],
+    [
+      'is granted to a caller without a workspace',
+      {audience: 'open'},
+      undefined,
+      'trucks',
+    ],
+  ])(
+    'checks an open transaction if the key %s',
+    async (unusedName, route, before, after) => {
+      const {fake, caller, session, metrics, state, open, run} = start();
+      state.configuration = withKey(before, before ? {} : route);
+      open();
+      await run(BEGIN, WRITE);
+      state.configuration = withKey(after, route);
+      session.tell({kind: 'reconfigured'});
+      await run(WRITE, COMMIT, READ);
+      const name = 'pistachiorill_gateway_rollbacks_total';
+      const rollbacks = await metrics.registry.getSingleMetric(name)?.get();
+      expect({
+        caller: caller.seen,
+        primary: fake.member('a').requests,
+        rollbacks: rollbacks?.values.map(item => item.labels['reason']),
+      }).toMatchSnapshot();
+    },
+  );
+
   // Guards against replies to callers that have left which leave no record.
   it('counts a reply that is not delivered', async () => {
     const {caller, metrics, open, run} = start();
--- a/packages/gateway/src/session/first_statement.ts
+++ b/packages/gateway/src/session/first_statement.ts
@@ -42,6 +42,8 @@
     return ok({answer, transaction: undefined});
   }
   const transaction = new OpenTransaction(
+    statement.id,
+    admitted.value.workspace,
     statementTimeoutMs,
     checkout,
     database,
--- a/packages/gateway/src/session/open_transaction.ts
+++ b/packages/gateway/src/session/open_transaction.ts
@@ -34,6 +34,10 @@
   private state: 'open' | 'ended' = 'open';
 
   constructor(
+    /** The id of its first statement. */
+    readonly request: string,
+    /** The workspace that its statements run for. */
+    readonly workspace: string,
     /** The route's statement timeout when the transaction began. */
     readonly statementTimeoutMs: number,
     private readonly checkout: Checkout,
--- /dev/null
+++ b/packages/gateway/src/session/session_access.ts
@@ -0,0 +1,32 @@
+import type {RuntimeConfiguration} from '@pistachiorill/core';
+import type {SessionRefusal} from '../ports/caller_link.js';
+import {resolveCaller} from './route_filter.js';
+import {ANONYMOUS_WORKSPACE} from './session_statement.js';
+import type {SessionTransaction} from './session_transaction.js';
+
+/** Whether a session may go on under the present configuration. */
+export type SessionAccess =
+  | {readonly kind: 'kept'}
+  /** The open transaction runs for a workspace that lost the key. */
+  | {readonly kind: 'other-workspace'}
+  /** The database or the key is not available any more. */
+  | {readonly kind: 'withdrawn'; readonly refusal: SessionRefusal};
+
+/**
+ * Checks the access of an open session. The statements of a transaction run for
+ * the workspace that held the key when it began, so it must still hold the key.
+ */
+export function checkAccess(
+  configuration: RuntimeConfiguration | undefined,
+  database: string,
+  key: string,
+  transaction: SessionTransaction,
+): SessionAccess {
+  const found = resolveCaller(configuration, database, key);
+  if (!found.ok) return {kind: 'withdrawn', refusal: found.err};
+  if (transaction.kind !== 'open') return {kind: 'kept'};
+  const {workspace} = transaction.transaction;
+  const isKept =
+    workspace === ANONYMOUS_WORKSPACE || workspace === found.value.workspace;
+  return {kind: isKept ? 'kept' : 'other-workspace'};
+}
--- a/packages/gateway/src/session/session_records.ts
+++ b/packages/gateway/src/session/session_records.ts
@@ -1,4 +1,5 @@
 import type {SessionRefusal} from '../ports/caller_link.js';
+import type {OpenTransaction} from './open_transaction.js';
 import type {SessionDependencies, SessionMessage} from './session_message.js';
 
 type RecordingDependencies = Pick<
@@ -6,6 +7,37 @@
   'configuration' | 'log' | 'metrics'
 >;
 
+/** Why the VM rolled a transaction back. */
+export type RollbackReason =
+  /** Its workspace lost the key. */
+  | 'other-workspace'
+  /** The database or the key is not available any more. */
+  | 'access-withdrawn'
+  | 'idle'
+  /** The session ends, or the VM stops. */
+  | 'session-ends';
+
+/** Counts and logs a transaction that the VM rolled back. */
+export function recordRollback(
+  {log, metrics, configuration}: RecordingDependencies,
+  database: string,
+  {request, workspace}: OpenTransaction,
+  reason: RollbackReason,
+): void {
+  metrics.rolledBack(reason);
+  log.info(
+    {
+      event: 'transaction.rolled-back',
+      request,
+      database,
+      workspace,
+      configuration: configuration()?.version,
+      reason,
+    },
+    'rolled back a transaction that its caller has not ended',
+  );
+}
+
 /** Counts and logs the refusal of a session. */
 export function recordSessionRefusal(
   {log, metrics}: RecordingDependencies,
--- a/packages/gateway/src/session/session_task.ts
+++ b/packages/gateway/src/session/session_task.ts
@@ -14,6 +14,7 @@
 import {memberWorkOf} from './member_work.js';
 import type {MemberStatement, MemberWork} from './member_work.js';
 import {resolveCaller} from './route_filter.js';
+import {checkAccess} from './session_access.js';
 import type {SessionMessage, SessionDependencies} from './session_message.js';
 import {SessionClosing} from './session_closing.js';
 import {
@@ -23,7 +24,12 @@
   VM_STOPS,
 } from './session_refusals.js';
 import {SessionSettings} from './session_settings.js';
-import {recordAfterClose, recordSessionRefusal} from './session_records.js';
+import {
+  recordAfterClose,
+  recordRollback,
+  recordSessionRefusal,
+} from './session_records.js';
+import type {RollbackReason} from './session_records.js';
 import {replyAfterFailure} from './session_transaction.js';
 import type {SessionTransaction} from './session_transaction.js';
 import {StatementReplies} from './statement_replies.js';
@@ -85,7 +91,7 @@
       case 'close':
         this.closing.close(VM_STOPS);
         // Requests in the mailbox belong to the transaction that is given up.
-        await this.failTransaction();
+        await this.failTransaction('session-ends');
         return;
       case 'disconnect':
         this.closing.disconnect();
@@ -93,8 +99,10 @@
         await this.link.receivePending();
         return;
       case 'abort-transaction':
+        await this.failTransaction('session-ends');
+        return;
       case 'transaction-idle':
-        await this.failTransaction();
+        await this.failTransaction('idle');
         return;
     }
   }
@@ -308,21 +316,29 @@
     return ok(answer);
   }
 
-  /** Fails the transaction and ends the session if access was withdrawn. */
+  /**
+   * Fails the transaction if it may not go on, and ends the session if access
+   * was withdrawn.
+   */
   private async handleReconfiguration(): Promise<void> {
     if (this.phase === 'new') return;
-    const {database, key} = this;
-    const found = resolveCaller(this.deps.configuration(), database, key);
-    if (found.ok) return;
-    await this.failTransaction();
-    this.closing.drain(found.err);
+    const {database, key, transaction} = this;
+    const configuration = this.deps.configuration();
+    const access = checkAccess(configuration, database, key, transaction);
+    if (access.kind === 'other-workspace') {
+      await this.failTransaction(access.kind);
+    } else if (access.kind === 'withdrawn') {
+      await this.failTransaction('access-withdrawn');
+      this.closing.drain(access.refusal);
+    }
   }
 
-  private async failTransaction(): Promise<void> {
+  private async failTransaction(reason: RollbackReason): Promise<void> {
     const {transaction} = this;
     if (transaction.kind === 'none' || transaction.kind === 'failed') return;
     this.transaction = {kind: 'failed'};
     if (transaction.kind !== 'open') return;
+    recordRollback(this.deps, this.database, transaction.transaction, reason);
     await transaction.transaction.rollback(this.settings.values);
   }
 
@@ -343,7 +359,7 @@
       return;
     }
     if (!this.closing.isDue(this.transaction)) return;
-    await this.failTransaction();
+    await this.failTransaction('session-ends');
     await this.link.receivePending();
     if (this.backlog > 0) return;
     if (this.phase === 'new') {
--- a/packages/gateway/src/telemetry/gateway_metrics.ts
+++ b/packages/gateway/src/telemetry/gateway_metrics.ts
@@ -33,6 +33,13 @@
     registers: [this.registry],
   });
 
+  private readonly rollbacks = new Counter({
+    name: 'pistachiorill_gateway_rollbacks_total',
+    help: 'Transactions that the VM rolled back, by reason.',
+    labelNames: ['reason'],
+    registers: [this.registry],
+  });
+
   private readonly changes = new Counter({
     name: 'pistachiorill_gateway_primary_changes_total',
     help: 'Changes of primary that this VM carried out, by outcome.',
@@ -89,6 +96,11 @@
     this.undeliveredReplies.inc();
   }
 
+  /** Counts a transaction that the VM rolled back. */
+  rolledBack(reason: string): void {
+    this.rollbacks.inc({reason});
+  }
+
   /** Counts a primary change that this VM carried out. */
   primaryChanged(outcome: string): void {
     this.changes.inc({outcome});
