Read the recorded primary and its term in one place

Cause: announce() looked at both phases of the record twice, once for the member and once for its term. recordedPrimary() returns both; a comment of chooseSuccessor() is clearer. No behaviour changes; types, linter and formatter pass.

--- a/packages/core/src/leadership/choose_successor.ts
+++ b/packages/core/src/leadership/choose_successor.ts
@@ -89,8 +89,8 @@
   ) {
     return {kind: 'wait', reason: 'behind'};
   }
-  // A member that is primary already is ordered as well if reports are missing:
-  // a later promotion may be among them, and the order then overrides it.
+  // If reports are missing, the order is sent for a promoted member as well: a
+  // silent member may have been promoted after it, which the order overrides.
   return {kind: 'promote', member: best.member};
 }
 
--- a/packages/gateway/src/leadership/primary_change.ts
+++ b/packages/gateway/src/leadership/primary_change.ts
@@ -110,10 +110,9 @@
       if (!current || !lease) return undefined;
       if (!this.lease.holds(lease.value, this.deps.clock())) return undefined;
       const {record} = current;
-      const recorded =
-        record.phase === 'settled' ? record.primary : record.from;
-      if (recorded !== from) return undefined;
-      const fromTerm = recordedTerm(record, from);
+      const recorded = recordedPrimary(record);
+      if (recorded.member !== from) return undefined;
+      const fromTerm = recorded.term;
       const moving = {phase: 'moving' as const, from, fromTerm, reason};
       const result = await this.deps.transact({
         expected: new Map([
@@ -366,13 +365,9 @@
   }
 }
 
-/** Returns the term in which a member is recorded to lead or to have led. */
-function recordedTerm(
-  record: LeadershipRecord,
-  member: string,
-): number | undefined {
-  if (record.phase === 'settled') {
-    return record.primary === member ? record.term : undefined;
-  }
-  return record.from === member ? record.fromTerm : undefined;
+/** Returns the member that leads, or that is replaced, and its recorded term. */
+function recordedPrimary(record: LeadershipRecord) {
+  return record.phase === 'settled'
+    ? {member: record.primary, term: record.term}
+    : {member: record.from, term: record.fromTerm};
 }
