Do not return to a former primary after an order

A change whose order was answered, or whose answer was lost, returned to its former primary once no other member answered this VM, although the ordered member may lead and answer others.

Change: an order that may take effect excludes the return; the change ends without a primary and the next one waits for a member that answers. An order that was rejected or not sent excludes nothing.

Test: 'ends without a primary if its order may take effect'. On the cases done and answer-lost-once gave 'reverted' instead of 'given-up'.

--- a/packages/gateway/src/leadership/primary_change.ts
+++ b/packages/gateway/src/leadership/primary_change.ts
@@ -51,6 +51,8 @@
   private readonly startedAt: number;
   private readonly lease: CoordinatorLeaseHolder;
   private readonly primaryStopper: PrimaryStopper;
+  /** Whether a promotion that this change ordered may still take effect. */
+  private orders: 'none' | 'may-take-effect' = 'none';
   /** The last choice that was logged, as text. */
   private loggedChoice = '';
 
@@ -137,7 +139,9 @@
   /**
    * Records the former primary again instead of a successor. Another VM as
    * coordinator may have ordered a promotion that takes effect later, so the
-   * coordinator lease must not have changed hands since the announcement.
+   * coordinator lease must not have changed hands since the announcement. An
+   * order of this change excludes the return as well: its member may lead
+   * although it does not answer this VM.
    */
   private async revert(
     announced: ChangeAnnouncement,
@@ -145,6 +149,7 @@
     const {group, from} = this.request;
     const {duty: lease} = this.deps.view().rows;
     const isOwn =
+      this.orders === 'none' &&
       announced.origin === 'own-move' &&
       lease?.value.holder === this.deps.vm &&
       lease.value.fence === this.fence &&
@@ -263,6 +268,9 @@
         );
         this.log('ordered', {member, result: result.ok ? 'done' : result.err});
         if (!result.ok && result.err.kind === 'rejected') return undefined;
+        if (result.ok || result.err.kind === 'unknown-outcome') {
+          this.orders = 'may-take-effect';
+        }
         if (result.ok) ordered = 'yes';
         else await sleep(ORDER_RETRY_MS);
       }
