--- a/packages/gateway/src/leadership/__tests__/leadership_task.test.ts
+++ b/packages/gateway/src/leadership/__tests__/leadership_task.test.ts
@@ -1,19 +1,17 @@
 import {afterEach, describe, expect, it} from 'vitest';
-import {UNKNOWN_STORE_CLOCK, fail, ok} from '@pistachiorill/core';
+import {fail, ok} from '@pistachiorill/core';
 import type {Random} from '@pistachiorill/core';
 import {PeerSet} from '../../peers/peer_set.js';
-import {RowDecoder} from '../../fleet/fleet_rows.js';
 import type {FleetView} from '../../fleet/fleet_view.js';
 import {
   FakeGroup,
   listedMember,
   silentLogger,
 } from '../../testing/fake_group.js';
+import {freshViewOf} from '../../testing/fake_fleet_view.js';
 import {FakeStore} from '../../testing/fake_store.js';
 import {LeadershipTask} from '../leadership_task.js';
 
-const decoder = new RowDecoder(() => undefined);
-
 /** One other VM, which answers or is unresponsive. */
 class FakePeers extends PeerSet {
   state: 'answers' | 'silent' = 'answers';
@@ -50,18 +48,7 @@
     store.put(`vm/${vm}`, entry);
   }
   store.put('leadership/wash', {phase: 'settled', primary: 'a'});
-  const view = (): FleetView => ({
-    rows: decoder.decode(store.rows.values()),
-    version: store.version,
-    proof: {asOfStoreMs: clock() + 1_000_000},
-    storeClock: {
-      ...UNKNOWN_STORE_CLOCK,
-      minOffset: 1_000_000,
-      maxOffset: 1_000_000,
-    },
-    joined: 'joined',
-    era: undefined,
-  });
+  const view = (): FleetView => freshViewOf(store, clock());
   const task = new LeadershipTask({
     vm: 'vm-a',
     view,
--- a/packages/gateway/src/testing/fake_primary_change.ts
+++ b/packages/gateway/src/testing/fake_primary_change.ts
@@ -1,10 +1,9 @@
-import {UNKNOWN_STORE_CLOCK, fail, ok} from '@pistachiorill/core';
+import {fail, ok} from '@pistachiorill/core';
 import type {
   PrimaryChangeReason,
   Random,
   SuspicionOutcome,
 } from '@pistachiorill/core';
-import {RowDecoder} from '../fleet/fleet_rows.js';
 import type {FleetView} from '../fleet/fleet_view.js';
 import {PrimaryChange} from '../leadership/primary_change.js';
 import {PeerSet} from '../peers/peer_set.js';
@@ -14,10 +13,9 @@
   PromotionRequest,
 } from '../ports/primary_promoter.js';
 import {FakeGroup, listedMember, silentLogger} from './fake_group.js';
+import {freshViewOf} from './fake_fleet_view.js';
 import {FakeStore} from './fake_store.js';
 
-const decoder = new RowDecoder(() => undefined);
-
 type OrderFaultMode =
   'done' | 'rejected-once' | 'answer-lost-once' | 'slow-once';
 
@@ -105,18 +103,7 @@
   store.put('duty', {holder: 'vm-a', fence: 4, takenAt});
   const peers = new FakePeers({fraction: () => 0} as unknown as Random);
   const orders = new FakeOrders(fake);
-  const view = (): FleetView => ({
-    rows: decoder.decode(store.rows.values()),
-    version: store.version,
-    proof: {asOfStoreMs: clock() + 1_000_000},
-    storeClock: {
-      ...UNKNOWN_STORE_CLOCK,
-      minOffset: 1_000_000,
-      maxOffset: 1_000_000,
-    },
-    joined: 'joined',
-    era: undefined,
-  });
+  const view = (): FleetView => freshViewOf(store, clock());
   const change = new PrimaryChange({group: 'wash', from: 'a', reason}, 4, {
     vm: 'vm-a',
     database: fake.task,
