--- a/packages/core/src/leadership/__tests__/choose_successor.test.ts
+++ b/packages/core/src/leadership/__tests__/choose_successor.test.ts
@@ -90,6 +90,12 @@
       former: {role: 'primary', term: 3},
     },
   ],
+  [
+    'accepts the later of two promotions',
+    {
+      reports: [report('b', 4, 20, IS_PRIMARY), report('c', 5, 12, IS_PRIMARY)],
+    },
+  ],
   [
     'ignores a primary of an earlier term that was cut off',
     {reports: [report('b', 2, 20, IS_PRIMARY), report('c', 3, 12)]},
