--- a/packages/gateway/src/leadership/primary_change.ts
+++ b/packages/gateway/src/leadership/primary_change.ts
@@ -178,47 +178,21 @@
     announced: ChangeAnnouncement,
     lastPosition: LogPosition | undefined,
   ): Promise<PrimaryChangeOutcome> {
-    const {from, reason} = this.request;
-    const replacedTerm = announced.fromTerm ?? 0;
     const choosingSince = this.deps.clock();
     // In another era of the store the lease of this change does not count.
     const era = eraOf(announced.version);
     while (this.isWithinTimeLimit() && this.era() === era) {
       if (this.isSuperseded(announced)) return 'lost';
-      const now = this.deps.clock();
-      const others = this.deps.members().filter(item => item.member !== from);
-      const [reports, former] = await Promise.all([
-        collectReports(others, this.deps),
-        statusOf(this.deps.database, from),
-      ]);
-      const terms = [...reports, ...(former.ok ? [former.value] : [])];
-      const highestTerm = Math.max(
-        lastPosition?.term ?? 0,
-        ...terms.map(item => item.term),
-      );
-      const required =
-        reason === 'leaving'
-          ? laterPosition(
-              lastPosition,
-              former.ok ? former.value.received : undefined,
-            )
-          : undefined;
-      const choice = chooseSuccessor({
-        reports,
-        former: former.ok ? former.value : undefined,
-        replacedTerm,
+      const waitedMs = this.deps.clock() - choosingSince;
+      const {choice, minTerm, former} = await this.choose(
+        announced,
         lastPosition,
-        listedCount: others.length,
-        required,
-        synchronousReplicas: this.deps.synchronousReplicas(),
-        waitedMs: now - choosingSince,
-      });
-      this.logChoice(choice, {replacedTerm, lastPosition, reports});
+        waitedMs,
+      );
       if (choice.kind === 'already') {
         return this.settle(announced, choice.member, choice.term);
       }
       if (choice.kind === 'promote') {
-        const minTerm = Math.max(highestTerm, replacedTerm + 1);
         const term = await this.promote(choice.member, minTerm);
         if (term !== undefined) {
           return this.settle(announced, choice.member, term);
@@ -229,9 +203,8 @@
         }
       } else if (
         choice.reason === 'no-report' &&
-        former.ok &&
-        former.value.role === 'primary' &&
-        now - choosingSince > PROMOTION_WAIT_MS
+        former?.role === 'primary' &&
+        waitedMs > PROMOTION_WAIT_MS
       ) {
         const outcome = await this.revert(announced);
         if (outcome) return outcome;
@@ -241,6 +214,47 @@
     return 'given-up';
   }
 
+  /**
+   * Queries all members and chooses a successor. It leads in `minTerm` or a later
+   * term once it is promoted.
+   */
+  private async choose(
+    announced: ChangeAnnouncement,
+    lastPosition: LogPosition | undefined,
+    waitedMs: number,
+  ) {
+    const {from, reason} = this.request;
+    const replacedTerm = announced.fromTerm ?? 0;
+    const others = this.deps.members().filter(item => item.member !== from);
+    const [reports, status] = await Promise.all([
+      collectReports(others, this.deps),
+      statusOf(this.deps.database, from),
+    ]);
+    const former = status.ok ? status.value : undefined;
+    const required =
+      reason === 'leaving'
+        ? laterPosition(lastPosition, former?.received)
+        : undefined;
+    const choice = chooseSuccessor({
+      reports,
+      former,
+      replacedTerm,
+      lastPosition,
+      listedCount: others.length,
+      required,
+      synchronousReplicas: this.deps.synchronousReplicas(),
+      waitedMs,
+    });
+    this.logChoice(choice, {replacedTerm, lastPosition, reports});
+    const minTerm = Math.max(
+      replacedTerm + 1,
+      lastPosition?.term ?? 0,
+      former?.term ?? 0,
+      ...reports.map(item => item.term),
+    );
+    return {choice, minTerm, former};
+  }
+
   /**
    * Orders the promotion and waits until the member is primary in `minTerm` or a
    * later term; returns its term. A member that was primary before reports to be
