--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -7,6 +7,8 @@
       'platform/src/**/__tests__/**/*.test.ts',
       'soak/src/**/__tests__/**/*.test.ts',
     ],
+    // Run by vitest.misbehaving.config.ts.
+    exclude: ['**/node_modules/**', '**/__tests__/misbehaving/**'],
     // Process tests start many processes and wait for their first failover; a
     // busy machine must not change the verdict.
     testTimeout: 90_000,
--- /dev/null
+++ b/vitest.misbehaving.config.ts
@@ -0,0 +1,19 @@
+import {defineConfig} from 'vitest/config';
+
+/**
+ * Tests of misbehaving clients measure the memory and descriptors of real
+ * processes, so one runs at a time and apart from all other tests.
+ */
+export default defineConfig({
+  test: {
+    include: [
+      'packages/*/src/__tests__/misbehaving/*.test.ts',
+      'platform/src/__tests__/misbehaving/*.test.ts',
+    ],
+    passWithNoTests: true,
+    testTimeout: 120_000,
+    hookTimeout: 120_000,
+    fileParallelism: false,
+    sequence: {concurrent: false},
+  },
+});
