Keep the session's log position by group

Cause: SessionTask kept the position of its last commit without its group, so that a commit in the log of one group replaced the position in that of another one. Change: SessionPositions keeps a position for each group, which never goes back; a commit counts for the group of its transaction. A position that is not known sends reads to the primary. This works because a replica refuses a read whose position its own log lacks.

--- a/packages/gateway/src/session/__tests__/place_filter.test.ts
+++ b/packages/gateway/src/session/__tests__/place_filter.test.ts
@@ -2,6 +2,7 @@
 import type {DatabaseRoute} from '@pistachiorill/core';
 import {FakeGroup, silentLogger} from '../../testing/fake_group.js';
 import {PlaceFilter} from '../place_filter.js';
+import {SessionPositions} from '../session_positions.js';
 import type {RoutedStatement} from '../session_statement.js';
 
 const ROUTE: DatabaseRoute = {
@@ -35,7 +36,7 @@
     command: {kind: 'statement', text},
     access,
     values: new Map(),
-    seen: undefined,
+    positions: new SessionPositions(),
     configuration: undefined,
     route: {...ROUTE, ...route},
     workspace: 'growers',
--- a/packages/gateway/src/session/first_statement.ts
+++ b/packages/gateway/src/session/first_statement.ts
@@ -1,14 +1,13 @@
 import {fail, ok} from '@pistachiorill/core';
 import type {Result} from '@pistachiorill/core';
 import type {SessionRefusal} from '../ports/caller_link.js';
-import type {MemberAnswer} from '../ports/member_link.js';
 import {OpenTransaction} from './open_transaction.js';
+import type {GroupAnswer} from './open_transaction.js';
 import type {SessionDependencies} from './session_message.js';
 import type {ReceivedStatement} from './session_statement.js';
 
 /** The answer, and the transaction if the statement opened one. */
-export interface FirstAnswer {
-  readonly answer: MemberAnswer;
+export interface FirstAnswer extends GroupAnswer {
   readonly transaction: OpenTransaction | undefined;
 }
 
@@ -31,7 +30,7 @@
   const {group, statementTimeoutMs} = admitted.value.route;
   const database = deps.database(group);
   if (statement.begin === undefined) {
-    return ok({answer, transaction: undefined});
+    return ok({answer, group, transaction: undefined});
   }
   if (!database) {
     checkout.connection.tell({kind: 'close'});
@@ -39,15 +38,16 @@
   }
   if (statement.access === 'commit') {
     database.tell({kind: 'return', checkout});
-    return ok({answer, transaction: undefined});
+    return ok({answer, group, transaction: undefined});
   }
   const transaction = new OpenTransaction(
     statement.id,
     admitted.value.workspace,
+    group,
     statementTimeoutMs,
     checkout,
     database,
     deps.clock,
   );
-  return ok({answer, transaction});
+  return ok({answer, group, transaction});
 }
--- a/packages/gateway/src/session/open_transaction.ts
+++ b/packages/gateway/src/session/open_transaction.ts
@@ -15,6 +15,12 @@
 import type {MemberAnswer, MemberCommand} from '../ports/member_link.js';
 import {concludeFault} from './conclude_fault.js';
 
+/** A member's answer and the group whose log its position belongs to. */
+export interface GroupAnswer {
+  readonly answer: MemberAnswer;
+  readonly group: string;
+}
+
 /** The time limit of a rollback. */
 const ROLLBACK_TIMEOUT_MS = 400;
 
@@ -38,6 +44,8 @@
     readonly request: string,
     /** The workspace that its statements run for. */
     readonly workspace: string,
+    /** The group at which it runs, also after its route has moved. */
+    private readonly group: string,
     /** The route's statement timeout when the transaction began. */
     readonly statementTimeoutMs: number,
     private readonly checkout: Checkout,
@@ -51,7 +59,7 @@
    */
   async run(
     statement: PinnedStatement,
-  ): Promise<Result<MemberAnswer, SessionRefusal>> {
+  ): Promise<Result<GroupAnswer, SessionRefusal>> {
     const {id, command, prepared, values, deadline, access} = statement;
     const result = await this.send({id, command, prepared, values, deadline});
     const validity = await ask<CheckoutValidity>(reply =>
@@ -59,7 +67,7 @@
     );
     if (result.ok && validity === 'valid') {
       if (access === 'commit') this.end();
-      return ok(result.value.answer);
+      return ok({answer: result.value.answer, group: this.group});
     }
     const fault: JobFault = result.ok
       ? {failure: 'no-answer', detail: 'the member may have been replaced'}
--- a/packages/gateway/src/session/place_filter.ts
+++ b/packages/gateway/src/session/place_filter.ts
@@ -290,15 +290,18 @@
   route,
   access,
   begin,
-  seen,
+  positions,
 }: RoutedStatement): CheckoutRequirement {
   const isRead = begin === undefined ? access === 'read' : begin === 'read';
   if (!isRead || route.consistency === 'strict') return {kind: 'primary'};
-  return {
-    kind: 'recent',
-    maxAgeMs: route.maxAgeMs,
-    seen: route.consistency === 'own-writes' ? seen : undefined,
-  };
+  const {maxAgeMs} = route;
+  if (route.consistency === 'bounded-age') {
+    return {kind: 'recent', maxAgeMs, seen: undefined};
+  }
+  const own = positions.of(route.group);
+  if (own.kind === 'unknown') return {kind: 'primary'};
+  const seen = own.kind === 'at-least' ? own.position : undefined;
+  return {kind: 'recent', maxAgeMs, seen};
 }
 
 /** Returns the first result that succeeds, or else the failure of `a`. */
--- a/packages/gateway/src/session/session_statement.ts
+++ b/packages/gateway/src/session/session_statement.ts
@@ -1,12 +1,12 @@
 import type {
   DatabaseRoute,
-  LogPosition,
   PreparedStatement,
   RuntimeConfiguration,
   SessionValues,
   StatementAccess,
 } from '@pistachiorill/core';
 import type {MemberCommand} from '../ports/member_link.js';
+import type {SessionPositions} from './session_positions.js';
 
 /** A statement to run on a member, with the state of its session. */
 export interface ReceivedStatement {
@@ -21,8 +21,8 @@
   /** The access of the transaction that begins with this statement, if any. */
   readonly begin?: StatementAccess | undefined;
   readonly values: SessionValues;
-  /** The log position of the session's last commit. */
-  readonly seen: LogPosition | undefined;
+  /** What reads of the session must see in each group. */
+  readonly positions: SessionPositions;
   /** Undefined until the VM has received a configuration. */
   readonly configuration: RuntimeConfiguration | undefined;
 }
--- a/packages/gateway/src/session/session_task.ts
+++ b/packages/gateway/src/session/session_task.ts
@@ -1,5 +1,4 @@
-import {ok} from '@pistachiorill/core';
-import type {LogPosition, Result, StatementAccess} from '@pistachiorill/core';
+import type {Result, StatementAccess} from '@pistachiorill/core';
 import {Task} from '@pistachiorill/tasks';
 import type {
   CallerEvent,
@@ -8,8 +7,8 @@
   SessionRefusal,
   SessionReply,
 } from '../ports/caller_link.js';
-import type {MemberAnswer} from '../ports/member_link.js';
 import {runFirstStatement} from './first_statement.js';
+import type {GroupAnswer} from './open_transaction.js';
 import {IdleTimer} from './idle_timer.js';
 import {memberWorkOf} from './member_work.js';
 import type {MemberStatement, MemberWork} from './member_work.js';
@@ -23,6 +22,7 @@
   UNEXPECTED_ERROR,
   VM_STOPS,
 } from './session_refusals.js';
+import {SessionPositions} from './session_positions.js';
 import {SessionSettings} from './session_settings.js';
 import {
   recordAfterClose,
@@ -44,8 +44,7 @@
   private readonly closing: SessionClosing;
   private readonly settings = new SessionSettings();
   private transaction: SessionTransaction = {kind: 'none'};
-  /** The log position of the session's last commit. */
-  private seen: LogPosition | undefined;
+  private readonly positions = new SessionPositions();
   private readonly replies: StatementReplies;
   private readonly idleTimer = new IdleTimer(() =>
     this.tell({kind: 'transaction-idle'}),
@@ -282,12 +281,12 @@
       this.replies.refuse(result.err);
       return;
     }
-    const answer = result.value;
+    const {answer, group} = result.value;
     const isCommit = access === 'commit';
     if (isCommit) this.transaction = {kind: 'none'};
     const hasCommitted =
       isCommit || (access === 'write' && transaction.kind === 'none');
-    if (hasCommitted && answer.applied) this.seen = answer.applied;
+    if (hasCommitted) this.positions.committed(group, answer.applied);
     this.deps.metrics.answered(access, this.deps.clock() - receivedAt);
     this.replies.send({kind: 'member', answer}, answer.applied);
   }
@@ -297,7 +296,7 @@
     id: string,
     work: MemberWork,
     receivedAt: number,
-  ): Promise<Result<MemberAnswer, SessionRefusal>> {
+  ): Promise<Result<GroupAnswer, SessionRefusal>> {
     const {transaction, database, key} = this;
     const result = await runFirstStatement(this.deps, {
       ...work,
@@ -307,13 +306,13 @@
       receivedAt,
       begin: transaction.kind === 'begun' ? transaction.access : undefined,
       values: new Map(this.settings.values),
-      seen: this.seen,
+      positions: this.positions,
       configuration: this.deps.configuration(),
     });
     if (!result.ok) return result;
-    const {answer, transaction: opened} = result.value;
+    const {transaction: opened} = result.value;
     if (opened) this.transaction = {kind: 'open', transaction: opened};
-    return ok(answer);
+    return result;
   }
 
   /**
--- a/packages/gateway/src/testing/fake_session.ts
+++ b/packages/gateway/src/testing/fake_session.ts
@@ -38,11 +38,18 @@
   transactionIdleMs: 3_000,
 };
 
-/** Starts a session with a fake caller and a group of fake members. */
-export function startSession(connectionLimit?: number) {
+/**
+ * Starts a session with a fake caller and a group of fake members. `others` are
+ * further groups by name, to which a test can move the route.
+ */
+export function startSession(
+  connectionLimit?: number,
+  others: ReadonlyMap<string, FakeGroup> = new Map(),
+) {
   const fake = new FakeGroup(connectionLimit);
   const clock = (): number => performance.now();
   const log = silentLogger();
+  const database = (name: string) => (others.get(name) ?? fake).task;
   const state = {configuration: SESSION_CONFIGURATION};
   const caller = new FakeCaller();
   const metrics = new GatewayMetrics();
@@ -50,11 +57,8 @@
     caller,
     {
       admit: Pipeline.of(new RouteFilter(), clock),
-      place: Pipeline.of(
-        new PlaceFilter({database: () => fake.task, clock, log}),
-        clock,
-      ),
-      database: () => fake.task,
+      place: Pipeline.of(new PlaceFilter({database, clock, log}), clock),
+      database,
       configuration: () => state.configuration,
       refundToken: () => undefined,
       clock,
