Check a statement's key again after its wait

Cause: the key was looked up once, before the wait. Change: PlaceFilter checks the holder of the key before it hands the statement to a connection, and refuses it as not run. This works because nothing has been sent to a member at that point.

--- a/packages/gateway/src/daemon/gateway_daemon.ts
+++ b/packages/gateway/src/daemon/gateway_daemon.ts
@@ -237,6 +237,7 @@
       place: Pipeline.of(
         new PlaceFilter({
           database: group => this.databases.get(group),
+          configuration: () => this.operators?.configuration,
           clock,
           log,
         }),
--- a/packages/gateway/src/session/__tests__/place_filter.test.ts
+++ b/packages/gateway/src/session/__tests__/place_filter.test.ts
@@ -1,6 +1,7 @@
 import {afterEach, describe, expect, it} from 'vitest';
-import type {DatabaseRoute} from '@pistachiorill/core';
+import type {DatabaseRoute, RuntimeConfiguration} from '@pistachiorill/core';
 import {FakeGroup, silentLogger} from '../../testing/fake_group.js';
+import {SESSION_CONFIGURATION} from '../../testing/fake_session.js';
 import {PlaceFilter} from '../place_filter.js';
 import {SessionPositions} from '../session_positions.js';
 import type {RoutedStatement} from '../session_statement.js';
@@ -47,9 +48,14 @@
 }
 
 /** Runs a statement; returns the result and the requests of each member. */
-async function place(fake: FakeGroup, routed: RoutedStatement) {
+async function place(
+  fake: FakeGroup,
+  routed: RoutedStatement,
+  configuration: () => RuntimeConfiguration | undefined = () => undefined,
+) {
   const filter = new PlaceFilter({
     database: () => fake.task,
+    configuration,
     clock: () => performance.now(),
     log: silentLogger(),
   });
@@ -187,4 +193,23 @@
     const {result, requests} = await place(fake, statement('write'));
     expect({result, formerPrimaryRequests: requests['a']}).toMatchSnapshot();
   });
+
+  // Guards against a statement that runs for the workspace which held its key
+  // when it arrived, although the key moved while it waited (review/2).
+  it.each([
+    ['moved to another workspace', new Map([['k', 'trucks']])],
+    ['was withdrawn', new Map()],
+    ['stays with its workspace', new Map([['k', 'growers']])],
+  ])('checks the key after the wait: it %s', async (unusedName, keys) => {
+    const fake = new FakeGroup();
+    group = fake;
+    const record = {phase: 'moving', from: 'a', reason: 'leaving'} as const;
+    fake.task.tell({kind: 'leadership', leadership: {record, version: 2}});
+    let current = {...SESSION_CONFIGURATION, keys: new Map([['k', 'growers']])};
+    setTimeout(() => (current = {...current, keys}), 20);
+    setTimeout(() => fake.setPrimary('b', 3), 40);
+    fake.member('b').role = 'primary';
+    const placed = await place(fake, statement('write'), () => current);
+    expect(placed).toMatchSnapshot();
+  });
 });
--- a/packages/gateway/src/session/place_filter.ts
+++ b/packages/gateway/src/session/place_filter.ts
@@ -1,5 +1,9 @@
 import {Filter, fail, ok} from '@pistachiorill/core';
-import type {Result, StatementEffect} from '@pistachiorill/core';
+import type {
+  Result,
+  RuntimeConfiguration,
+  StatementEffect,
+} from '@pistachiorill/core';
 import {ask, sleep} from '@pistachiorill/tasks';
 import type {Clock} from '@pistachiorill/tasks';
 import type {Logger} from '@pistachiorill/telemetry';
@@ -14,6 +18,7 @@
 import type {SessionRefusal} from '../ports/caller_link.js';
 import type {MemberAnswer} from '../ports/member_link.js';
 import {busyRefusal, concludeFault} from './conclude_fault.js';
+import {refusalAfterWait} from './session_access.js';
 import type {RoutedStatement} from './session_statement.js';
 
 /** The maximum number of members on which one statement is tried. */
@@ -45,6 +50,8 @@
 /** The services of the VM that the filter uses. */
 export interface PlaceDependencies {
   readonly database: (group: string) => DatabaseTask | undefined;
+  /** The configuration in force. */
+  readonly configuration: () => RuntimeConfiguration | undefined;
   readonly clock: Clock;
   readonly log: Logger;
 }
@@ -145,6 +152,13 @@
           ),
         });
       }
+      // The key may have moved while the statement waited for a token or a
+      // connection.
+      const refusal = refusalAfterWait(this.deps.configuration(), statement);
+      if (refusal) {
+        database.tell({kind: 'return', checkout: checkedOut.value});
+        return fail({conclusion: 'final', refusal});
+      }
       member = checkedOut.value.member;
       return this.execute(database, checkedOut.value, statement);
     };
--- a/packages/gateway/src/testing/fake_session.ts
+++ b/packages/gateway/src/testing/fake_session.ts
@@ -57,7 +57,15 @@
     caller,
     {
       admit: Pipeline.of(new RouteFilter(), clock),
-      place: Pipeline.of(new PlaceFilter({database, clock, log}), clock),
+      place: Pipeline.of(
+        new PlaceFilter({
+          database,
+          configuration: () => state.configuration,
+          clock,
+          log,
+        }),
+        clock,
+      ),
       database,
       configuration: () => state.configuration,
       refundToken: () => undefined,
