Report the statements of each workspace by window

Cause: a deployment with usageWindowS requires a report of the statements that members began to run, by workspace and window of wall-clock time. The gateway counted nothing and had no duty of this kind.

Change: member connections report each statement that is sent, and each that a member did not begin; UsageTask counts them by window. ReportTask holds the usage lease (row usage-lease, with the code of the coordinator lease, now LeaseRow), collects the counts of all VMs, records them under the condition that the window has no row, and sends what the row says. Without [usage] in the settings none of it exists.

The tasks have no test yet.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -93,6 +93,7 @@
 export type {TransactionScope} from './statement/classify_statement.js';
 export type * from './configuration/runtime_configuration.js';
 export * from './leadership/index.js';
+export * from './usage/index.js';
 export * from './quota/transfer/decide_transfer.js';
 export * from './quota/transfer/share_table.js';
 export * from './quota/transfer/token_bucket.js';
--- a/packages/core/src/leadership/take_duty.ts
+++ b/packages/core/src/leadership/take_duty.ts
@@ -16,6 +16,25 @@
  */
 export const FENCE_ERA_STEP = 1_000_000;
 
+/** The durations that define one kind of lease on the shared rows. */
+export interface LeaseTerms {
+  /** How long a lease lasts unless its holder renews it. */
+  readonly durationMs: number;
+  /** How long the first lease of an era waits, as the copy may lack a holder. */
+  readonly eraWaitMs: number;
+}
+
+/**
+ * The terms of the coordinator lease. The first lease of an era waits for the
+ * duration of a primary lease. It is longer than a lease of a holder that the
+ * copy lacks, and by then no VM that the copy lacks uses a primary either, so
+ * that the change of a primary need not ask it.
+ */
+export const COORDINATOR_LEASE_TERMS: LeaseTerms = {
+  durationMs: COORDINATOR_LEASE_MS,
+  eraWaitMs: PRIMARY_LEASE_MS,
+};
+
 /** The store's era, and how long the VM has seen it. */
 export interface LeaseEra {
   readonly number: number;
@@ -24,7 +43,7 @@
   readonly start: 'observed' | 'not-observed';
 }
 
-/** Whether a VM may acquire the coordinator lease, and with which number. */
+/** Whether a VM may acquire a lease, and with which number. */
 export type CoordinatorLeaseDecision =
   /** The VM may acquire or renew the lease. */
   | {readonly kind: 'take'; readonly fence: number}
@@ -34,32 +53,28 @@
   | {readonly kind: 'wait'};
 
 /**
- * Decides whether a VM may acquire or renew the coordinator lease. Another VM's
- * lease has expired once its duration has passed at the earliest time that the
- * store's clock can show.
- *
- * The first lease of an era waits for the duration of a primary lease. It is
- * longer than a lease of a holder that the copy lacks, and by then no VM that
- * the copy lacks uses a primary either, so that the change of a primary need
- * not ask it.
+ * Decides whether a VM may acquire or renew a lease. Another VM's lease has
+ * expired once its duration has passed at the earliest time that the store's
+ * clock can show.
  */
 export function decideCoordinatorLease(
   vm: string,
   current: CoordinatorLease | undefined,
   earliestStoreMs: number,
   era: LeaseEra,
+  {durationMs, eraWaitMs}: LeaseTerms = COORDINATOR_LEASE_TERMS,
 ): CoordinatorLeaseDecision {
   if (current && isOfEra(current, era.number)) {
     if (current.holder === vm) return {kind: 'take', fence: current.fence};
-    if (earliestStoreMs >= current.takenAt + COORDINATOR_LEASE_MS) {
+    if (earliestStoreMs >= current.takenAt + durationMs) {
       return {kind: 'take', fence: current.fence + 1};
     }
     return {kind: 'leave', holder: current.holder};
   }
   const mayBeLacking = current !== undefined || era.start === 'observed';
-  if (mayBeLacking && era.seenForMs < PRIMARY_LEASE_MS) return {kind: 'wait'};
+  if (mayBeLacking && era.seenForMs < eraWaitMs) return {kind: 'wait'};
   // A program version that does not record the era may hold the lease.
-  if (current && earliestStoreMs < current.takenAt + COORDINATOR_LEASE_MS) {
+  if (current && earliestStoreMs < current.takenAt + durationMs) {
     return {kind: 'wait'};
   }
   return {kind: 'take', fence: firstFence(current, era.number)};
@@ -77,8 +92,8 @@
 }
 
 /**
- * Whether a VM holds the coordinator lease for at least another `orderMs`, so
- * that an order with this time limit ends before the lease.
+ * Whether a VM holds a lease for at least another `orderMs`, so that an order
+ * with this time limit ends before the lease.
  */
 export function holdsCoordinatorLease(
   vm: string,
@@ -86,10 +101,11 @@
   latestStoreMs: number,
   orderMs: number,
   era: number,
+  {durationMs}: LeaseTerms = COORDINATOR_LEASE_TERMS,
 ): boolean {
   return (
     isOfEra(current, era) &&
     current.holder === vm &&
-    latestStoreMs + orderMs < current.takenAt + COORDINATOR_LEASE_MS
+    latestStoreMs + orderMs < current.takenAt + durationMs
   );
 }
--- /dev/null
+++ b/packages/core/src/usage/index.ts
@@ -0,0 +1,4 @@
+export * from './usage_bounds.js';
+export * from './usage_counts.js';
+export * from './usage_step.js';
+export * from './wall_time.js';
--- a/packages/gateway/src/daemon/daemon_peer_handlers.ts
+++ b/packages/gateway/src/daemon/daemon_peer_handlers.ts
@@ -1,4 +1,8 @@
-import type {LogPosition, PrimaryObservation} from '@pistachiorill/core';
+import type {
+  LogPosition,
+  PrimaryObservation,
+  ProcessCounts,
+} from '@pistachiorill/core';
 import {ask} from '@pistachiorill/tasks';
 import type {DatabaseTask} from '../database/database_task.js';
 import type {FleetTask} from '../fleet/fleet_task.js';
@@ -10,6 +14,7 @@
 import type {
   ConfigurationRequest,
   DirectoryRequest,
+  KeptCounts,
   StopRequest,
 } from '../peers/gateway_router.js';
 import type {ConfigurationTask} from '../operators/configuration_task.js';
@@ -18,6 +23,7 @@
   RelayedMembers,
 } from '../operators/directory_task.js';
 import type {QuotaTask} from '../quota/quota_task.js';
+import type {UsageTask} from '../usage/usage_task.js';
 
 /** The tasks that answer peers' requests. */
 export interface PeerHandlerDependencies {
@@ -28,6 +34,8 @@
   readonly configuration: ConfigurationTask;
   readonly directory: DirectoryTask;
   readonly positions: PositionTask;
+  /** Undefined if the deployment has no usage reports. */
+  readonly usage: UsageTask | undefined;
 }
 
 /** Forwards each peer request to the task that owns the state in question. */
@@ -96,6 +104,16 @@
     return ask(reply => this.deps.positions.tell({kind: 'relay', reply}));
   }
 
+  override async usage(window: number): Promise<readonly ProcessCounts[]> {
+    const {usage} = this.deps;
+    if (!usage) return [];
+    return ask(reply => usage.tell({kind: 'counts', window, reply}));
+  }
+
+  override keepUsage(counts: KeptCounts): void {
+    this.deps.usage?.tell({kind: 'keep', counts});
+  }
+
   override tokens(workspace: string, asked: number): Promise<number> {
     return ask(reply =>
       this.deps.quota.tell({kind: 'give', workspace, asked, reply}),
--- a/packages/gateway/src/daemon/database_set.ts
+++ b/packages/gateway/src/daemon/database_set.ts
@@ -6,6 +6,7 @@
 import type {Clock} from '@pistachiorill/tasks';
 import type {Logger} from '@pistachiorill/telemetry';
 import {DatabaseTask} from '../database/database_task.js';
+import type {StatementCounter} from '../database/database_tools.js';
 import {primaryLeaseOf} from '../fleet/fleet_view.js';
 import type {FleetView} from '../fleet/fleet_view.js';
 import type {OperatorState} from '../ports/configuration_source.js';
@@ -28,6 +29,8 @@
   readonly view: () => FleetView;
   readonly requestPositions: (group: string) => 'requested' | 'not-sampled';
   readonly onSuspect: (group: string, primary: string, since: number) => void;
+  /** Counts the statements of workspaces; undefined if nobody needs it. */
+  readonly onStatement: StatementCounter | undefined;
   readonly clock: Clock;
   readonly log: Logger;
 }
@@ -121,6 +124,7 @@
   private open(group: string): void {
     const {settings, links, clock, log, view, onSuspect, requestPositions} =
       this.deps;
+    const {onStatement} = this.deps;
     const {vm, regions} = settings;
     const task = new DatabaseTask(group, {
       vm: {dataCentre: vm.data_centre, region: vm.region},
@@ -133,6 +137,7 @@
         this.suspicions.set(name, {since, at: clock()});
         onSuspect(name, primary, since);
       },
+      onStatement,
       log,
       onFailed: err =>
         log.error(
--- a/packages/gateway/src/daemon/gateway_daemon.ts
+++ b/packages/gateway/src/daemon/gateway_daemon.ts
@@ -2,12 +2,6 @@
 import type {Server} from 'node:http';
 import {Random} from '@pistachiorill/core';
 import {PeerServer} from '@pistachiorill/peers';
-import type {
-  RowTransaction,
-  StoreWriteError,
-  TransactionResult,
-} from '@pistachiorill/store';
-import type {Result} from '@pistachiorill/core';
 import {Pipeline, ask} from '@pistachiorill/tasks';
 import type {Logger} from '@pistachiorill/telemetry';
 import {SuspensionClock, SystemClocks} from '../clock/suspension_clock.js';
@@ -18,6 +12,7 @@
 import {PositionTask} from '../fleet/position_task.js';
 import {registeredAt} from '../fleet/registration.js';
 import {ShareAllocator} from '../fleet/share_allocator.js';
+import type {LeaseRowDependencies} from '../leadership/lease_row.js';
 import {LeadershipTask} from '../leadership/leadership_task.js';
 import {ConfigurationTask} from '../operators/configuration_task.js';
 import {DirectoryTask} from '../operators/directory_task.js';
@@ -37,6 +32,7 @@
 import {SessionTask} from '../session/session_task.js';
 import type {SessionDependencies} from '../session/session_message.js';
 import {GatewayMetrics} from '../telemetry/gateway_metrics.js';
+import {UsageSubsystem} from '../usage/usage_subsystem.js';
 import {DaemonPeerHandlers} from './daemon_peer_handlers.js';
 import type {GatewayPorts, OpenPorts} from './gateway_ports.js';
 import type {GatewaySettings} from './gateway_settings.js';
@@ -62,6 +58,8 @@
   private readonly configuration: ConfigurationTask;
   private readonly directory: DirectoryTask;
   private readonly positions: PositionTask;
+  /** Undefined if the deployment has no usage reports. */
+  private readonly usage: UsageSubsystem | undefined;
   private readonly peerServer: PeerServer;
   private readonly sessionDependencies: SessionDependencies;
   private metricsServer: Server | undefined;
@@ -81,7 +79,10 @@
         'the machine was suspended or its clock was set forward',
       );
       // Deferred, because this callback runs while the clock is being read.
-      setImmediate(() => this.fleet.tell({kind: 'clock-skipped', skippedMs}));
+      setImmediate(() => {
+        this.usage?.clockSkipped(skippedMs);
+        this.fleet.tell({kind: 'clock-skipped', skippedMs});
+      });
     });
     this.clock = () => suspension.now();
     const {clock, peers} = this;
@@ -139,6 +140,26 @@
       log,
       onFailed,
     });
+    const transact: LeaseRowDependencies['transact'] = transaction =>
+      ask(reply => this.fleet.tell({kind: 'transact', transaction, reply}));
+    this.usage =
+      settings.usage &&
+      new UsageSubsystem({
+        vm,
+        incarnation,
+        bounds: settings.usage,
+        view,
+        transact,
+        peers,
+        reporter: this.ports.usageReporter,
+        clock,
+        wallClock: () => Date.now(),
+        startedAt: clock(),
+        onOutcome: outcome => this.metrics.usageReported(outcome),
+        onMissing: vms => this.metrics.usageMissing(vms),
+        log,
+        onFailed,
+      });
     this.databases = new DatabaseSet({
       settings,
       links: this.ports.links,
@@ -152,13 +173,10 @@
         this.directory.tell({kind: 'list-soon'});
         this.leadership.tell({kind: 'suspected', group, primary, since});
       },
+      onStatement: this.usage?.count,
       clock,
       log,
     });
-    const transact = (
-      transaction: RowTransaction,
-    ): Promise<Result<TransactionResult, StoreWriteError>> =>
-      ask(reply => this.fleet.tell({kind: 'transact', transaction, reply}));
     this.leadership = new LeadershipTask({
       vm,
       view,
@@ -225,6 +243,7 @@
             configuration: this.configuration,
             directory: this.directory,
             positions: this.positions,
+            usage: this.usage?.usage,
           }),
         },
       },
@@ -263,6 +282,7 @@
     this.directory.tell({kind: 'list'});
     this.leadership.tell({kind: 'review'});
     this.shareAllocator.tell({kind: 'keep'});
+    this.usage?.start();
     this.log.info({event: 'gateway.started', listen}, 'gateway started');
   }
 
@@ -270,12 +290,18 @@
   async stop(): Promise<void> {
     if (this.lifecycle === 'stopping') return;
     this.lifecycle = 'stopping';
+    this.usage?.stopReporting();
     await stopGracefully({
       graceMs: this.settings.limits.grace_ms,
       sessions: this.sessions,
       callers: this.ports.callers,
       closeDatabases: () => this.databases.close(),
-      leaveFleet: () => ask(reply => this.fleet.tell({kind: 'leave', reply})),
+      leaveFleet: async () => {
+        const left = ask<void>(reply =>
+          this.fleet.tell({kind: 'leave', reply}),
+        );
+        await Promise.all([left, this.usage?.handOver()]);
+      },
       clock: this.clock,
       log: this.log,
     });
@@ -293,6 +319,7 @@
     this.configuration.tell({kind: 'stop'});
     this.directory.tell({kind: 'stop'});
     this.positions.tell({kind: 'stop'});
+    this.usage?.close();
     this.peerServer.close();
     this.peers.close();
     this.ports.readiness.close();
--- a/packages/gateway/src/daemon/gateway_ports.ts
+++ b/packages/gateway/src/daemon/gateway_ports.ts
@@ -6,6 +6,7 @@
 import type {MemberLinkFactory} from '../ports/member_link.js';
 import type {PrimaryPromoter} from '../ports/primary_promoter.js';
 import type {ReadinessEndpoint} from '../ports/readiness_endpoint.js';
+import type {UsageReporter} from '../ports/usage_reporter.js';
 
 /** The adapters through which the gateway uses its platform. */
 export interface GatewayPorts {
@@ -15,6 +16,7 @@
   readonly directory: MemberDirectory;
   readonly orders: PrimaryPromoter;
   readonly store: TransactionalStore;
+  readonly usageReporter: UsageReporter;
   readonly readiness: ReadinessEndpoint;
 }
 
--- a/packages/gateway/src/daemon/gateway_settings.ts
+++ b/packages/gateway/src/daemon/gateway_settings.ts
@@ -1,5 +1,5 @@
 import {fail, ok} from '@pistachiorill/core';
-import type {Result} from '@pistachiorill/core';
+import type {Result, UsageBounds} from '@pistachiorill/core';
 import * as z from 'zod';
 
 const ADDRESS = z
@@ -45,6 +45,28 @@
     ),
   }));
 
+const DEFAULT_LEASE_MS = 3_000;
+
+/** Undefined if the deployment has no usage reports. */
+const USAGE_SCHEMA = z
+  .object({
+    /** The duration of a window, in seconds. */
+    window_s: optionalNumber(z.number().min(0)),
+    /** How long after the end of its window a report is due, in seconds. */
+    late_s: optionalNumber(z.number().min(0)),
+    /** Two holders within this time may not send reports in turns. */
+    lease_ms: optionalNumber(z.number().min(0)),
+  })
+  .prefault({})
+  .transform(({window_s, late_s, lease_ms}): UsageBounds | undefined => {
+    if (!window_s) return undefined;
+    return {
+      windowMs: window_s * 1_000,
+      lateMs: (late_s ?? 2 * window_s) * 1_000,
+      leaseMs: lease_ms ?? DEFAULT_LEASE_MS,
+    };
+  });
+
 const SETTINGS_SCHEMA = z.object({
   vm: z.object({
     name: NAME,
@@ -62,6 +84,7 @@
   store: z.object({address: ADDRESS}),
   orders: z.object({address: ADDRESS}).optional(),
   limits: LIMITS_SCHEMA,
+  usage: USAGE_SCHEMA,
   log: z
     .object({
       level: z.enum(['debug', 'info', 'warn', 'error']).default('info'),
--- a/packages/gateway/src/database/database_task.ts
+++ b/packages/gateway/src/database/database_task.ts
@@ -152,7 +152,7 @@
     listed: ListedMember,
     workspace: string,
   ): MemberConnection {
-    const {links, clock, onFailed} = this.deps;
+    const {links, clock, onStatement, onFailed} = this.deps;
     const {member, address} = listed;
     const connection: MemberConnection = new MemberConnection(
       member,
@@ -163,6 +163,7 @@
         onAnswered: info =>
           this.tell({kind: 'answered', member, connection, info, at: clock()}),
         onFault: fault => this.tell({kind: 'fault', member, connection, fault}),
+        onStatement: (state, at) => onStatement?.(workspace, state, at),
       },
       onFailed,
     );
--- a/packages/gateway/src/database/database_tools.ts
+++ b/packages/gateway/src/database/database_tools.ts
@@ -6,6 +6,13 @@
 import type {Logger} from '@pistachiorill/telemetry';
 import type {MemberLinkFactory} from '../ports/member_link.js';
 
+/** Counts the statements that members begin to run. */
+export type StatementCounter = (
+  workspace: string,
+  state: 'begun' | 'not-begun',
+  at: number,
+) => void;
+
 /** The services of the VM that a group's task uses. */
 export interface DatabaseDependencies {
   /** The location of this VM. */
@@ -31,6 +38,12 @@
     primary: string,
     since: number,
   ) => void;
+  /**
+   * Called for each statement of a workspace that is sent to a member, with the
+   * time at which the member begins it, and again if it did not begin; undefined
+   * if statements are not counted.
+   */
+  readonly onStatement?: StatementCounter | undefined;
   readonly log: Logger;
   /** Reports an unexpected exception. */
   readonly onFailed: (err: unknown) => void;
--- a/packages/gateway/src/database/member_connection.ts
+++ b/packages/gateway/src/database/member_connection.ts
@@ -30,6 +30,9 @@
 /** The time limit of a setup command, which takes no slot of the member. */
 const SETUP_TIMEOUT_MS = 400;
 
+/** The id of statements that have none; members do not count these. */
+const NO_STATEMENT_ID = '-';
+
 /** A statement and the connection state that it requires. */
 export interface ConnectionJob {
   readonly values: SessionValues;
@@ -80,6 +83,11 @@
   readonly onSent: () => void;
   readonly onAnswered: (info: ResponseInfo) => void;
   readonly onFault: (fault: LinkFault) => void;
+  /**
+   * Called when a caller's statement is sent, with the time at which the member
+   * is expected to begin it, and with the same time if it did not begin.
+   */
+  readonly onStatement: (state: 'begun' | 'not-begun', at: number) => void;
 }
 
 /** What a response shows about its member. */
@@ -98,6 +106,8 @@
 export class MemberConnection extends Task<ConnectionMessage> {
   private sessionState: ConnectionSessionState = EMPTY_SESSION_STATE;
   private recordedState: ConnectionState = 'new';
+  /** The shortest time from a request to its response. */
+  private shortestRoundTripMs = Infinity;
 
   constructor(
     readonly member: string,
@@ -150,11 +160,19 @@
     if (!ready.ok) return ready;
     const {request, deadline} = job;
     const sentAt = this.clock();
+    const work = request.id === undefined ? 'setup' : 'statement';
+    // Requests take the same time to the member as responses take back.
+    const begunAt = sentAt + this.shortestRoundTripMs / 2;
+    const isCounted = work === 'statement' && request.id !== NO_STATEMENT_ID;
+    if (isCounted) this.events.onStatement('begun', begunAt);
     const sent = await this.send(
       this.withStatementName(job, request),
       deadline - sentAt,
-      request.id === undefined ? 'setup' : 'statement',
+      work,
     );
+    if (isCounted && !hasBegun(sent)) {
+      this.events.onStatement('not-begun', begunAt);
+    }
     if (!sent.ok) return fail(toJobFault(sent.err));
     const answer = sent.value;
     this.recordedState =
@@ -175,9 +193,11 @@
   private async prepare(job: ConnectionJob): Promise<Result<void, JobFault>> {
     if (this.recordedState === 'new') {
       this.events.onSent();
+      const openedAt = this.clock();
       const opened = await this.link.open(
-        Math.min(OPEN_TIMEOUT_MS, job.deadline - this.clock()),
+        Math.min(OPEN_TIMEOUT_MS, job.deadline - openedAt),
       );
+      this.shortestRoundTripMs = this.clock() - openedAt;
       if (!opened.ok) {
         this.close();
         this.events.onFault(opened.err);
@@ -238,6 +258,10 @@
     const result = await this.link.run(request, Math.max(1, timeoutMs));
     if (result.ok) {
       const {applied} = result.value;
+      this.shortestRoundTripMs = Math.min(
+        this.shortestRoundTripMs,
+        this.clock() - sentAt,
+      );
       this.events.onAnswered({sentAt, applied, work});
     } else {
       this.close();
@@ -295,6 +319,27 @@
   }
 }
 
+/** Whether a member began to run a statement, or may have. */
+function hasBegun(sent: Result<MemberAnswer, LinkFault>): boolean {
+  if (!sent.ok) return sent.err.kind === 'broken' || sent.err.kind === 'silent';
+  const {outcome} = sent.value;
+  if (outcome.kind === 'done') return true;
+  switch (outcome.error.kind) {
+    case 'failed':
+    case 'timed-out':
+    case 'other':
+      return true;
+    case 'busy':
+    case 'behind':
+    case 'not-primary':
+    case 'wrong-member':
+    case 'too-many-connections':
+    case 'no-prepared-statement':
+    case 'malformed':
+      return false;
+  }
+}
+
 function toAttemptFailure(kind: MemberErrorKind): AttemptFailure {
   switch (kind) {
     case 'busy':
--- a/packages/gateway/src/fleet/__tests__/fleet_rows.test.ts
+++ b/packages/gateway/src/fleet/__tests__/fleet_rows.test.ts
@@ -12,6 +12,10 @@
   ['leadership/odd', JSON.stringify({phase: 'asleep'})],
   ['duty', '{"holder":"vm-a","fence":1e300,"takenAt":1}'],
   ['shares', '{"vm-a":{"ppm":1e300}}'],
+  ['usage-lease', '{"holder":"vm-a","fence":7,"takenAt":1,"era":2}'],
+  ['usage/41', '{"counts":{"growers":3},"era":0}'],
+  ['usage/odd', '{"counts":{"growers":3},"era":0}'],
+  ['usage/42', '{"counts":{"growers":-1},"era":0}'],
   ['from-the-future', '{}'],
 ];
 
--- a/packages/gateway/src/fleet/fleet_rows.ts
+++ b/packages/gateway/src/fleet/fleet_rows.ts
@@ -4,6 +4,8 @@
   LeadershipRecord,
   LeadershipStamp,
   ShareTable,
+  UsageRecord,
+  UsageRecords,
   VersionedLeadership,
 } from '@pistachiorill/core';
 import type {TableRow} from '@pistachiorill/store';
@@ -11,10 +13,13 @@
 
 /** Key of the row that holds the coordinator lease. */
 export const COORDINATOR_LEASE_KEY = 'duty';
+/** Key of the row that holds the usage lease. */
+export const USAGE_LEASE_KEY = 'usage-lease';
 /** Key of the row that divides the rates among the VMs. */
 export const SHARES_KEY = 'shares';
 const LEADERSHIP_PREFIX = 'leadership/';
 const VM_PREFIX = 'vm/';
+const USAGE_PREFIX = 'usage/';
 
 /** Key of the row that records a group's primary. */
 export function leadershipKey(group: string): string {
@@ -26,6 +31,11 @@
   return VM_PREFIX + vm;
 }
 
+/** Key of the row that records the counts of a window. */
+export function usageKey(window: number): string {
+  return USAGE_PREFIX + window;
+}
+
 /** Whether a row registers a VM. */
 export function isVmRow({key}: TableRow): boolean {
   return key.startsWith(VM_PREFIX);
@@ -101,6 +111,11 @@
   }),
 );
 
+const USAGE_SCHEMA = z.object({
+  counts: z.record(z.string(), z.number().int().min(0)),
+  era: z.number().int().min(0),
+});
+
 /** A row's decoded content with the version of the row. */
 export interface Versioned<T> {
   readonly value: T;
@@ -116,6 +131,10 @@
   readonly duty: Versioned<CoordinatorLease> | undefined;
   /** Each VM's share of the rates. */
   readonly shares: Versioned<ShareTable> | undefined;
+  /** The lease of the VM that sends the usage reports. */
+  readonly usageLease: Versioned<CoordinatorLease> | undefined;
+  /** The recorded counts of the usage reports, by window. */
+  readonly usage: UsageRecords;
 }
 
 /** Returns the data centre of each registered VM. */
@@ -133,6 +152,12 @@
       readonly stamp: LeadershipStamp;
     }
   | {readonly kind: 'duty'; readonly value: CoordinatorLease}
+  | {readonly kind: 'usage-lease'; readonly value: CoordinatorLease}
+  | {
+      readonly kind: 'usage';
+      readonly window: number;
+      readonly value: UsageRecord;
+    }
   | {readonly kind: 'shares'; readonly value: ShareTable}
   | {readonly kind: 'unreadable'}
   /** A row of another version of the program. */
@@ -153,6 +178,8 @@
     const leadership = new Map<string, VersionedLeadership>();
     let duty: Versioned<CoordinatorLease> | undefined;
     let shares: Versioned<ShareTable> | undefined;
+    let usageLease: Versioned<CoordinatorLease> | undefined;
+    const usage = new Map<number, UsageRecord>();
     for (const row of rows) {
       const {version} = row;
       const content = this.decodeOnce(row);
@@ -172,12 +199,18 @@
         case 'shares':
           shares = {value: content.value, version};
           break;
+        case 'usage-lease':
+          usageLease = {value: content.value, version};
+          break;
+        case 'usage':
+          usage.set(content.window, content.value);
+          break;
         case 'unreadable':
         case 'unknown':
           break;
       }
     }
-    return {vms, leadership, duty, shares};
+    return {vms, leadership, duty, shares, usageLease, usage};
   }
 
   private decodeOnce(row: TableRow): DecodedRow {
@@ -207,6 +240,16 @@
     const value = read(DUTY_SCHEMA, text);
     return value ? {kind: 'duty', value} : UNREADABLE;
   }
+  if (key === USAGE_LEASE_KEY) {
+    const value = read(DUTY_SCHEMA, text);
+    return value ? {kind: 'usage-lease', value} : UNREADABLE;
+  }
+  if (key.startsWith(USAGE_PREFIX)) {
+    const window = Number(key.slice(USAGE_PREFIX.length));
+    const value = read(USAGE_SCHEMA, text);
+    const isReadable = value && Number.isSafeInteger(window);
+    return isReadable ? {kind: 'usage', window, value} : UNREADABLE;
+  }
   if (key === SHARES_KEY) {
     const value = read(SHARES_SCHEMA, text);
     return value ? {kind: 'shares', value: value as ShareTable} : UNREADABLE;
--- a/packages/gateway/src/fleet/fleet_view.ts
+++ b/packages/gateway/src/fleet/fleet_view.ts
@@ -46,6 +46,8 @@
     leadership: new Map(),
     duty: undefined,
     shares: undefined,
+    usageLease: undefined,
+    usage: new Map(),
   },
   version: 0,
   proof: undefined,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -20,3 +20,5 @@
 } from './ports/primary_promoter.js';
 export {ReadinessEndpoint} from './ports/readiness_endpoint.js';
 export type {Readiness} from './ports/readiness_endpoint.js';
+export {UsageReporter} from './ports/usage_reporter.js';
+export type {UsageReport, UsageReportError} from './ports/usage_reporter.js';
--- a/packages/gateway/src/leadership/coordinator_lease_holder.ts
+++ b/packages/gateway/src/leadership/coordinator_lease_holder.ts
@@ -1,12 +1,6 @@
-import {
-  eraOf,
-  holdsCoordinatorLease,
-  isOfEra,
-  latestStoreTime,
-} from '@pistachiorill/core';
 import type {CoordinatorLease} from '@pistachiorill/core';
 import {sleep} from '@pistachiorill/tasks';
-import {COORDINATOR_LEASE_KEY} from '../fleet/fleet_rows.js';
+import {COORDINATOR_LEASE, LeaseRow} from './lease_row.js';
 import type {PrimaryChangeDependencies} from './primary_change_dependencies.js';
 
 /** The time limit of an order to promote a member. */
@@ -17,33 +11,30 @@
 /** Collaborators for holding the coordinator lease. */
 export type CoordinatorLeaseHolderDependencies = Pick<
   PrimaryChangeDependencies,
-  'vm' | 'view' | 'transact' | 'clock'
+  'vm' | 'view' | 'transact'
 >;
 
 /** The coordinator lease of one primary change, under one fencing number. */
 export class CoordinatorLeaseHolder {
+  private readonly row: LeaseRow;
+
   constructor(
     private readonly fence: number,
-    private readonly deps: CoordinatorLeaseHolderDependencies,
-  ) {}
+    deps: CoordinatorLeaseHolderDependencies,
+  ) {
+    this.row = new LeaseRow(COORDINATOR_LEASE, deps);
+  }
 
   /** Whether the lease lasts long enough to order one more promotion. */
   holds(lease: CoordinatorLease, now: number): boolean {
     return (
-      lease.fence === this.fence &&
-      holdsCoordinatorLease(
-        this.deps.vm,
-        lease,
-        latestStoreTime(this.deps.view().storeClock, now),
-        ORDER_TIMEOUT_MS,
-        this.era(),
-      )
+      lease.fence === this.fence && this.row.holds(lease, ORDER_TIMEOUT_MS, now)
     );
   }
 
   /** Whether the lease has been acquired under another number since. */
   isTakenOver(): boolean {
-    return this.deps.view().rows.duty?.value.fence !== this.fence;
+    return this.row.current?.value.fence !== this.fence;
   }
 
   /**
@@ -51,7 +42,7 @@
    * VM starts to run the same change. Returns undefined if that is not needed.
    */
   async renewIfNeeded(now: number): Promise<'extended' | 'lost' | undefined> {
-    const lease = this.deps.view().rows.duty;
+    const lease = this.row.current;
     if (!lease || lease.value.fence !== this.fence) return undefined;
     if (this.holds(lease.value, now)) return undefined;
     return (await this.renew(now)) ? 'extended' : 'lost';
@@ -63,23 +54,10 @@
    * changed meanwhile.
    */
   async renew(now: number): Promise<boolean> {
-    const view = this.deps.view();
-    const lease = view.rows.duty;
-    if (!lease || lease.value.holder !== this.deps.vm) return false;
-    if (lease.value.fence !== this.fence) return false;
-    if (!isOfEra(lease.value, this.era())) return false;
-    const takenAt = latestStoreTime(view.storeClock, now);
-    const record: CoordinatorLease = {...lease.value, takenAt};
-    const result = await this.deps.transact({
-      expected: new Map([[COORDINATOR_LEASE_KEY, lease.version]]),
-      puts: new Map([[COORDINATOR_LEASE_KEY, JSON.stringify(record)]]),
-    });
+    if (this.isTakenOver()) return false;
+    const result = await this.row.extend(now);
+    if (!result) return false;
     if (!result.ok) await sleep(STORE_RETRY_MS);
     return result.ok || result.err.kind !== 'conflict';
   }
-
-  /** The era of the store's rows. */
-  private era(): number {
-    return eraOf(this.deps.view().version);
-  }
 }
--- a/packages/gateway/src/leadership/lease_acquirer.ts
+++ b/packages/gateway/src/leadership/lease_acquirer.ts
@@ -1,15 +1,5 @@
-import {
-  decideCoordinatorLease,
-  earliestStoreTime,
-  latestStoreTime,
-} from '@pistachiorill/core';
-import type {
-  CoordinatorLease,
-  CoordinatorLeaseDecision,
-} from '@pistachiorill/core';
-import {COORDINATOR_LEASE_KEY} from '../fleet/fleet_rows.js';
-import {leaseEra} from '../fleet/fleet_view.js';
 import {OBSERVATION_TIMEOUT_MS} from './collect_verdict.js';
+import {COORDINATOR_LEASE, LeaseRow} from './lease_row.js';
 import type {PrimaryChangeDependencies} from './primary_change_dependencies.js';
 
 /** Collaborators for acquiring the coordinator lease. */
@@ -21,12 +11,15 @@
 /** Acquires the coordinator lease for this VM. */
 export class LeaseAcquirer {
   private acquisition: 'idle' | 'under-way' = 'idle';
+  private readonly row: LeaseRow;
 
-  constructor(private readonly deps: LeaseAcquirerDependencies) {}
+  constructor(private readonly deps: LeaseAcquirerDependencies) {
+    this.row = new LeaseRow(COORDINATOR_LEASE, deps);
+  }
 
   /** Whether nobody may acquire the lease yet, as the era has just begun. */
   mustWait(): boolean {
-    return this.decide(this.deps.clock()).kind === 'wait';
+    return this.row.decide(this.deps.clock()).kind === 'wait';
   }
 
   /**
@@ -35,28 +28,17 @@
    */
   async acquire(group: string): Promise<number | undefined> {
     if (this.acquisition === 'under-way') return undefined;
-    const {vm, view, clock, peers, log} = this.deps;
-    const {rows, storeClock} = view();
+    const {clock, peers, log} = this.deps;
     const now = clock();
-    const decision = this.decide(now);
+    const decision = this.row.decide(now);
     if (decision.kind === 'wait') return undefined;
     if (decision.kind === 'leave') {
       void peers.suspect(decision.holder, group, OBSERVATION_TIMEOUT_MS);
       return undefined;
     }
-    const era = leaseEra(view(), now).number;
-    const takenAt = latestStoreTime(storeClock, now);
-    const record: CoordinatorLease = {
-      holder: vm,
-      fence: decision.fence,
-      takenAt,
-      era,
-    };
+    const {era} = this.row;
     this.acquisition = 'under-way';
-    const result = await this.deps.transact({
-      expected: new Map([[COORDINATOR_LEASE_KEY, rows.duty?.version ?? 0]]),
-      puts: new Map([[COORDINATOR_LEASE_KEY, JSON.stringify(record)]]),
-    });
+    const result = await this.row.acquire(decision.fence, now);
     this.acquisition = 'idle';
     log.info(
       {
@@ -70,14 +52,4 @@
     );
     return result.ok ? decision.fence : undefined;
   }
-
-  private decide(now: number): CoordinatorLeaseDecision {
-    const {rows, storeClock} = this.deps.view();
-    return decideCoordinatorLease(
-      this.deps.vm,
-      rows.duty?.value,
-      earliestStoreTime(storeClock, now),
-      leaseEra(this.deps.view(), now),
-    );
-  }
 }
--- a/packages/gateway/src/peers/gateway_handlers.ts
+++ b/packages/gateway/src/peers/gateway_handlers.ts
@@ -1,10 +1,15 @@
-import type {LogPosition, PrimaryObservation} from '@pistachiorill/core';
+import type {
+  LogPosition,
+  PrimaryObservation,
+  ProcessCounts,
+} from '@pistachiorill/core';
 import type {RelayRequest, RelayedRows} from '../fleet/relayed_rows.js';
 import type {RelayedPositions} from '../fleet/position_task.js';
 import type {RelayedMembers} from '../operators/directory_task.js';
 import type {
   ConfigurationRequest,
   DirectoryRequest,
+  KeptCounts,
   StopRequest,
 } from './gateway_router.js';
 
@@ -47,6 +52,10 @@
   abstract directory(req: DirectoryRequest): Promise<RelayedMembers | null>;
   /** Returns the log positions of the primaries that this VM knows. */
   abstract positions(): Promise<RelayedPositions>;
+  /** Returns the counts of a window that this VM has. */
+  abstract usage(window: number): Promise<readonly ProcessCounts[]>;
+  /** Keeps the counts of another VM's process. */
+  abstract keepUsage(counts: KeptCounts): void;
   /** Returns the number of tokens that this VM transfers to the caller. */
   abstract tokens(workspace: string, asked: number): Promise<number>;
 }
--- a/packages/gateway/src/peers/gateway_router.ts
+++ b/packages/gateway/src/peers/gateway_router.ts
@@ -57,6 +57,23 @@
 /** Asks a VM for its list of members, unless the caller has the same one. */
 export type DirectoryRequest = z.infer<typeof DIRECTORY_SCHEMA>;
 
+const WINDOW = z.number().int();
+
+const KEPT_COUNTS_SCHEMA = z.object({
+  vm: z.string(),
+  incarnation: z.string(),
+  /** The counts of the process so far, for each of the last windows. */
+  windows: z.array(
+    z.object({
+      window: WINDOW,
+      counts: z.record(z.string(), z.number().int().min(0)),
+    }),
+  ),
+});
+
+/** The counts of one process, which another VM keeps for it. */
+export type KeptCounts = z.infer<typeof KEPT_COUNTS_SCHEMA>;
+
 /** The remote procedures that VMs call on each other. */
 export const GATEWAY_ROUTER = t.router({
   /** Answers at once, which shows that the VM is alive. */
@@ -87,6 +104,14 @@
     .mutation(({ctx, input}) => ctx.handlers.directory(input)),
   /** Returns the log positions of the primaries that the VM knows. */
   positions: t.procedure.mutation(({ctx}) => ctx.handlers.positions()),
+  /** Returns the counts of a window that the VM has. */
+  usage: t.procedure
+    .input(z.object({window: WINDOW}))
+    .mutation(({ctx, input}) => ctx.handlers.usage(input.window)),
+  /** Keeps the counts of a process that may end. */
+  keepUsage: t.procedure
+    .input(KEPT_COUNTS_SCHEMA)
+    .mutation(({ctx, input}) => ctx.handlers.keepUsage(input)),
   /** Transfers tokens of a workspace to the caller. */
   tokens: t.procedure
     .input(z.object({workspace: z.string(), asked: z.number()}))
--- a/packages/gateway/src/peers/peer_set.ts
+++ b/packages/gateway/src/peers/peer_set.ts
@@ -3,6 +3,7 @@
 import type {
   LogPosition,
   PrimaryObservation,
+  ProcessCounts,
   Random,
   Result,
 } from '@pistachiorill/core';
@@ -18,6 +19,7 @@
   ConfigurationRequest,
   DirectoryRequest,
   GatewayRouter,
+  KeptCounts,
   StopRequest,
 } from './gateway_router.js';
 
@@ -171,6 +173,20 @@
     );
   }
 
+  /** Asks a VM for the counts of a window that it has. */
+  usage(
+    vm: string,
+    window: number,
+    timeoutMs: number,
+  ): Answer<readonly ProcessCounts[]> {
+    return this.call(vm, timeoutMs, (c, o) => c.usage.mutate({window}, o));
+  }
+
+  /** Asks a VM to keep the counts of this process. */
+  keepUsage(vm: string, counts: KeptCounts, timeoutMs: number): Answer<void> {
+    return this.call(vm, timeoutMs, (c, o) => c.keepUsage.mutate(counts, o));
+  }
+
   /** Closes all connections to peers. */
   close(): void {
     for (const peer of this.peers.values()) peer.agent.destroy();
--- a/packages/gateway/src/telemetry/gateway_metrics.ts
+++ b/packages/gateway/src/telemetry/gateway_metrics.ts
@@ -47,6 +47,19 @@
     registers: [this.registry],
   });
 
+  private readonly usageReports = new Counter({
+    name: 'pistachiorill_gateway_usage_reports_total',
+    help: 'Usage reports whose window this VM settled, by outcome.',
+    labelNames: ['outcome'],
+    registers: [this.registry],
+  });
+
+  private readonly usageMissingVms = new Counter({
+    name: 'pistachiorill_gateway_usage_missing_vms_total',
+    help: 'VMs that did not answer before the counts of a window were recorded.',
+    registers: [this.registry],
+  });
+
   private readonly storeFailures = new Counter({
     name: 'pistachiorill_gateway_store_failures_total',
     help: 'Calls to the store without a usable answer, by call.',
@@ -106,6 +119,16 @@
     this.changes.inc({outcome});
   }
 
+  /** Counts a window whose usage report was sent or given up. */
+  usageReported(outcome: string): void {
+    this.usageReports.inc({outcome});
+  }
+
+  /** Counts VMs whose counts a usage report lacks. */
+  usageMissing(vms: number): void {
+    this.usageMissingVms.inc(vms);
+  }
+
   /** Counts a call to the store without a usable answer. */
   storeFailed(call: string): void {
     this.storeFailures.inc({call});
--- /dev/null
+++ b/packages/gateway/src/usage/report_task.ts
@@ -0,0 +1,389 @@
+import {
+  REPORT_TIMEOUT_MS,
+  decideUsageStep,
+  dueAt,
+  firstRecordable,
+  newestWindow,
+  oldestKeptRow,
+  oldestUseful,
+  rankDelayMs,
+  rendezvousOrder,
+  sumCounts,
+  usageLeaseTerms,
+} from '@pistachiorill/core';
+import type {
+  CollectionState,
+  ProcessCounts,
+  Result,
+  UsageBounds,
+  UsageLeaseState,
+  UsageStep,
+} from '@pistachiorill/core';
+import {Task, ask, settled} from '@pistachiorill/tasks';
+import type {Clock} from '@pistachiorill/tasks';
+import type {Logger} from '@pistachiorill/telemetry';
+import {usageKey} from '../fleet/fleet_rows.js';
+import {isProven, isStoreResponsive, leaseEra} from '../fleet/fleet_view.js';
+import {LeaseRow, usageLease} from '../leadership/lease_row.js';
+import type {LeaseRowDependencies} from '../leadership/lease_row.js';
+import type {PeerSet} from '../peers/peer_set.js';
+import type {UsageReportError, UsageReporter} from '../ports/usage_reporter.js';
+import {collectCounts} from './collect_counts.js';
+import type {CollectedCounts} from './collect_counts.js';
+import {ReportLog} from './report_log.js';
+import type {LeaseWriteResult, UsageOutcome} from './report_log.js';
+import type {UsageTask} from './usage_task.js';
+
+const TICK_INTERVAL_MS = 200;
+/** The pause before VMs that did not answer are asked again. */
+const COLLECT_RETRY_MS = 500;
+/** The pause after a write to the store that did not succeed. */
+const WRITE_RETRY_MS = 300;
+/** The pause after a report that was not accepted. */
+const RESEND_MS = 500;
+/** Key by which the VMs are ordered. */
+const ORDER_KEY = 'usage';
+
+/** Messages that the report task handles. */
+export type ReportMessage =
+  | {readonly kind: 'tick'}
+  | {
+      readonly kind: 'collected';
+      readonly window: number;
+      readonly own: readonly ProcessCounts[];
+      readonly answers: CollectedCounts;
+    }
+  | {
+      readonly kind: 'written';
+      readonly step: UsageStep;
+      readonly result: LeaseWriteResult;
+    }
+  | {
+      readonly kind: 'answered';
+      readonly window: number;
+      readonly result: Result<void, UsageReportError>;
+    }
+  /** This process is about to exit; another VM takes over. */
+  | {readonly kind: 'stop'};
+
+/** Collaborators of the report task. */
+export interface ReportDependencies extends LeaseRowDependencies {
+  readonly bounds: UsageBounds;
+  readonly usage: UsageTask;
+  readonly peers: PeerSet;
+  readonly reporter: UsageReporter;
+  readonly clock: Clock;
+  /** When the process started, by this VM's clock. */
+  readonly startedAt: number;
+  readonly onOutcome: (outcome: UsageOutcome) => void;
+  /** Called with the number of VMs whose counts a report lacks. */
+  readonly onMissing: (vms: number) => void;
+  readonly log: Logger;
+  readonly onFailed: (err: unknown) => void;
+}
+
+/** The counts of one window that have been collected. */
+interface Collection extends CollectionState {
+  readonly answers: CollectedCounts;
+  readonly own: readonly ProcessCounts[];
+}
+
+/** Sends the usage reports while this VM holds the usage lease. */
+export class ReportTask extends Task<ReportMessage> {
+  private readonly lease: LeaseRow;
+  private readonly log: ReportLog;
+  private phase: 'running' | 'stopped' = 'running';
+  /** A write or a report that has no answer yet. */
+  private action: 'idle' | 'under-way' = 'idle';
+  private collection: Collection | undefined;
+  private readonly settledWindows = new Set<number>();
+  private resendAt = -Infinity;
+  private writeAt = -Infinity;
+  private freeSince: number | undefined;
+  /** Windows up to this one were settled or dropped; undefined without lease. */
+  private reviewedTo: number | undefined;
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly deps: ReportDependencies) {
+    super();
+    this.lease = new LeaseRow(usageLease(usageLeaseTerms(deps.bounds)), deps);
+    this.log = new ReportLog(deps.log);
+  }
+
+  protected override async handle(message: ReportMessage): Promise<void> {
+    switch (message.kind) {
+      case 'tick':
+        await this.tick();
+        return;
+      case 'collected':
+        this.collected(message);
+        return;
+      case 'written':
+        this.written(message);
+        return;
+      case 'answered':
+        this.answered(message.window, message.result);
+        return;
+      case 'stop':
+        this.phase = 'stopped';
+        clearTimeout(this.timer);
+        return;
+    }
+  }
+
+  protected override onFailure(err: unknown): void {
+    this.action = 'idle';
+    this.collection = undefined;
+    this.deps.onFailed(err);
+    this.schedule(TICK_INTERVAL_MS);
+  }
+
+  private async tick(): Promise<void> {
+    // Reading the clock detects a jump, which tasks are told of before this goes
+    // on; otherwise the jump would move this step to another window.
+    this.deps.clock();
+    await settled();
+    if (this.phase === 'stopped') return;
+    this.schedule(TICK_INTERVAL_MS);
+    const {bounds, clock, view} = this.deps;
+    const now = clock();
+    if (!isProven(view(), now) || this.action === 'under-way') return;
+    const wallMs = this.deps.usage.wallTimeAt(now);
+    const lease = this.leaseState(now);
+    const records = view().rows.usage;
+    const firstRecordable = this.firstRecordable(now);
+    if (lease.kind === 'held') this.dropOld(firstRecordable, wallMs);
+    const step = decideUsageStep(
+      {
+        lease,
+        records,
+        settled: this.settledWindows,
+        resendAt: this.resendAt,
+        firstRecordable,
+        collection: this.collection,
+      },
+      bounds,
+      wallMs,
+    );
+    this.perform(step, now, wallMs);
+  }
+
+  private schedule(ms: number): void {
+    clearTimeout(this.timer);
+    if (this.phase === 'stopped') return;
+    this.timer = setTimeout(() => this.tell({kind: 'tick'}), ms);
+  }
+
+  private firstRecordable(now: number): number {
+    const {bounds, startedAt, usage, view} = this.deps;
+    const {number, seenForMs} = leaseEra(view(), now);
+    const start = {
+      startedAt: usage.wallTimeAt(startedAt),
+      era: number,
+      eraSeenAt: usage.wallTimeAt(now - seenForMs),
+    };
+    return firstRecordable(view().rows.usage, start, bounds);
+  }
+
+  /** The lease as this VM sees it; a free one is waited for by rank. */
+  private leaseState(now: number): UsageLeaseState {
+    const leftMs = this.lease.leftMs(now);
+    if (leftMs > 0) return {kind: 'held', leftMs};
+    const decision = this.lease.decide(now);
+    if (decision.kind !== 'take') {
+      this.freeSince = undefined;
+      this.reviewedTo = undefined;
+      return {kind: 'not-available'};
+    }
+    this.freeSince ??= now;
+    const isOwn = this.lease.current?.value.holder === this.deps.vm;
+    const waitMs = isOwn ? 0 : this.rankDelay();
+    return now - this.freeSince >= waitMs
+      ? {kind: 'free'}
+      : {kind: 'not-available'};
+  }
+
+  private rankDelay(): number {
+    const {vm, peers} = this.deps;
+    const names = peers.names.filter(name => !peers.isUnresponsive(name));
+    return rankDelayMs(rendezvousOrder(ORDER_KEY, [vm, ...names]).indexOf(vm));
+  }
+
+  private perform(step: UsageStep, now: number, wallMs: number): void {
+    switch (step.kind) {
+      case 'wait':
+        return;
+      case 'collect':
+        this.collect(step.window);
+        return;
+      case 'send':
+        this.send(step.window);
+        return;
+      case 'acquire':
+      case 'renew':
+      case 'record':
+        if (now < this.writeAt) return;
+        if (!isStoreResponsive(this.deps.view(), now)) return;
+        this.write(step, now, wallMs);
+        return;
+    }
+  }
+
+  /** Asks this VM's task and the VMs that have not answered yet. */
+  private collect(window: number): void {
+    const {peers, usage} = this.deps;
+    const before = this.collection;
+    const answers = before?.window === window ? before.answers : new Map();
+    this.collection = {
+      window,
+      state: 'under-way',
+      retryAt: Infinity,
+      answers,
+      own: [],
+    };
+    const missing = peers.names.filter(name => !answers.has(name));
+    this.runInBackground(async () => {
+      const collected = await collectCounts(window, missing, peers);
+      const own = await ask<readonly ProcessCounts[]>(reply =>
+        usage.tell({kind: 'counts', window, reply}),
+      );
+      this.tell({kind: 'collected', window, own, answers: collected});
+    });
+  }
+
+  private collected({
+    window,
+    own,
+    answers: newAnswers,
+  }: Extract<ReportMessage, {kind: 'collected'}>): void {
+    if (this.collection?.window !== window) return;
+    const {clock, peers, usage} = this.deps;
+    const answers = new Map([...this.collection.answers, ...newAnswers]);
+    const isComplete = peers.names.every(name => answers.has(name));
+    this.collection = {
+      window,
+      state: isComplete ? 'complete' : 'incomplete',
+      retryAt: usage.wallTimeAt(clock()) + COLLECT_RETRY_MS,
+      answers,
+      own,
+    };
+    if (isComplete) this.schedule(0);
+  }
+
+  /** Writes the lease, and with it the counts of a window if they are ready. */
+  private write(step: UsageStep, now: number, wallMs: number): void {
+    this.action = 'under-way';
+    this.runInBackground(async () => {
+      const result = await this.writeLease(step, now, wallMs);
+      // The view has the written rows only after the fleet's task ran.
+      await settled();
+      this.tell({kind: 'written', step, result});
+    });
+  }
+
+  private async writeLease(step: UsageStep, now: number, wallMs: number) {
+    if (step.kind === 'acquire') {
+      const decision = this.lease.decide(now);
+      if (decision.kind !== 'take') return undefined;
+      return this.lease.acquire(decision.fence, now);
+    }
+    if (step.kind !== 'record') return this.lease.extend(now);
+    const {own = [], answers = new Map()} = this.collection ?? {};
+    const counts = sumCounts([...own, ...[...answers.values()].flat()]);
+    const {era} = this.lease;
+    const key = usageKey(step.window);
+    return this.lease.extend(now, {
+      expected: new Map([[key, 0]]),
+      puts: new Map([[key, JSON.stringify({counts, era})]]),
+      removals: this.oldRows(wallMs),
+    });
+  }
+
+  /** Rows that are no longer needed; the newest one always is. */
+  private oldRows(wallMs: number): readonly string[] {
+    const {bounds, view} = this.deps;
+    const records = view().rows.usage;
+    const oldest = Math.min(
+      oldestKeptRow(wallMs, bounds),
+      newestWindow(records) ?? Infinity,
+    );
+    return [...records.keys()].filter(item => item < oldest).map(usageKey);
+  }
+
+  private written({
+    step,
+    result,
+  }: Extract<ReportMessage, {kind: 'written'}>): void {
+    this.action = 'idle';
+    const {clock, peers, onMissing} = this.deps;
+    const answers = this.collection?.answers;
+    const missing = peers.names.filter(name => !answers?.has(name));
+    this.log.written(step, this.fence(), result, missing);
+    if (!result?.ok) {
+      this.writeAt = clock() + WRITE_RETRY_MS;
+      return;
+    }
+    if (step.kind === 'record') onMissing(missing.length);
+    this.schedule(0);
+  }
+
+  /** Sends what is recorded for a window; the lease was checked just now. */
+  private send(window: number): void {
+    const {reporter, view, vm} = this.deps;
+    const record = view().rows.usage.get(window);
+    const fence = this.fence();
+    if (!record || fence === undefined) return;
+    this.action = 'under-way';
+    const report = {window, counts: record.counts, holder: vm, fence};
+    this.runInBackground(async () => {
+      const result = await reporter.send(report, REPORT_TIMEOUT_MS);
+      this.tell({kind: 'answered', window, result});
+    });
+  }
+
+  private answered(
+    window: number,
+    result: Result<void, UsageReportError>,
+  ): void {
+    this.action = 'idle';
+    const {bounds, clock, usage} = this.deps;
+    const wallMs = usage.wallTimeAt(clock());
+    if (!result.ok && result.err.kind !== 'rejected') {
+      this.resendAt = wallMs + RESEND_MS;
+      this.log.unsent(window, result.err);
+      return;
+    }
+    const sent = wallMs <= dueAt(window, bounds) ? 'sent' : 'late';
+    const outcome = result.ok ? sent : 'rejected';
+    const err = result.ok ? undefined : result.err;
+    this.log.answered(window, outcome, this.fence(), err);
+    this.settledWindows.add(window);
+    this.deps.onOutcome(outcome);
+    this.schedule(0);
+  }
+
+  private fence(): number | undefined {
+    return this.lease.current?.value.fence;
+  }
+
+  /**
+   * Gives up the windows whose report is too late to be of use. Those without a
+   * record before the first recordable one were given up before.
+   */
+  private dropOld(firstRecordable: number, wallMs: number): void {
+    const {bounds, onOutcome, view} = this.deps;
+    const oldest = oldestUseful(wallMs, bounds);
+    const from = this.reviewedTo ?? oldest - 1;
+    this.reviewedTo = Math.max(from, oldest - 1);
+    for (let window = from + 1; window < oldest; window++) {
+      const isRecorded = view().rows.usage.has(window);
+      if (this.settledWindows.has(window)) continue;
+      if (!isRecorded && window < firstRecordable) continue;
+      this.log.dropped(window);
+      onOutcome('dropped');
+    }
+    for (const window of this.settledWindows) {
+      if (window < oldest) this.settledWindows.delete(window);
+    }
+  }
+}
