--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -15,7 +15,10 @@
 export {Random} from './common/random.js';
 export {rankDelayMs} from './common/rank_delay.js';
 export {rendezvousOrder} from './common/rendezvous.js';
-export {selectRepresentatives} from './common/representatives.js';
+export {
+  MAX_VMS_WITHOUT_SELECTION,
+  selectRepresentatives,
+} from './common/representatives.js';
 export {fail, ok} from './common/result.js';
 export type {Result} from './common/result.js';
 export type * from './configuration/configuration.js';
--- a/packages/core/src/usage/index.ts
+++ b/packages/core/src/usage/index.ts
@@ -1,4 +1,5 @@
 export * from './usage_bounds.js';
+export * from './usage_cleanup.js';
 export * from './usage_counts.js';
 export * from './usage_step.js';
 export * from './wall_time.js';
--- a/packages/core/src/usage/wall_time.ts
+++ b/packages/core/src/usage/wall_time.ts
@@ -29,16 +29,42 @@
   skip: undefined,
 };
 
-/** Adds a reading of the wall clock. */
+/**
+ * Adds a reading of the wall clock. The first one counts as if it had been made
+ * for ten minutes, so that a jump soon after the start is an outlier too.
+ */
 export function noteReading(
   time: WallTime,
   wallMs: number,
   now: number,
 ): WallTime {
-  const offsets = [...time.offsets, wallMs - now].slice(-MAX_READINGS);
-  const sorted = [...offsets].sort((a, b) => a - b);
-  const medianOffset = sorted[Math.floor((sorted.length - 1) / 2)] ?? 0;
-  return {...time, offsets, medianOffset};
+  const offset = wallMs - now;
+  const before = time.offsets.length === 0 ? fill(offset) : time.offsets;
+  const offsets = [...before.slice(1), offset];
+  return {...time, offsets, medianOffset: medianOf(offsets)};
+}
+
+function fill(offset: number): readonly number[] {
+  return Array.from({length: MAX_READINGS}, () => offset);
+}
+
+/** The median of numbers; the lower one of the two in the middle. */
+export function medianOf(numbers: readonly number[]): number {
+  const sorted = [...numbers].sort((a, b) => a - b);
+  return sorted[Math.floor((sorted.length - 1) / 2)] ?? 0;
+}
+
+/** Below this, VMs that differ from the others keep their own time. */
+const MAX_DEVIATION_MS = 1_000;
+
+/**
+ * Returns by how much a VM corrects its estimate, given how far other VMs are
+ * ahead of it. A process that started while its wall clock was wrong has no other
+ * way to tell.
+ */
+export function deviationOf(aheadMs: readonly number[]): number {
+  const median = medianOf([0, ...aheadMs]);
+  return Math.abs(median) > MAX_DEVIATION_MS ? median : 0;
 }
 
 /** The estimated wall-clock time at `now`. */
@@ -83,7 +109,8 @@
     : resolved;
 }
 
-function shiftBy(time: WallTime, byMs: number): WallTime {
+/** Corrects the estimate and the readings that it is made from. */
+export function shiftBy(time: WallTime, byMs: number): WallTime {
   return {
     ...time,
     offsets: time.offsets.map(offset => offset + byMs),
--- a/packages/gateway/src/daemon/daemon_peer_handlers.ts
+++ b/packages/gateway/src/daemon/daemon_peer_handlers.ts
@@ -1,8 +1,4 @@
-import type {
-  LogPosition,
-  PrimaryObservation,
-  ProcessCounts,
-} from '@pistachiorill/core';
+import type {LogPosition, PrimaryObservation} from '@pistachiorill/core';
 import {ask} from '@pistachiorill/tasks';
 import type {DatabaseTask} from '../database/database_task.js';
 import type {FleetTask} from '../fleet/fleet_task.js';
@@ -10,7 +6,10 @@
 import type {RelayRequest, RelayedRows} from '../fleet/relayed_rows.js';
 import type {LeadershipTask} from '../leadership/leadership_task.js';
 import {GatewayHandlers} from '../peers/gateway_handlers.js';
-import type {RelayedConfiguration} from '../peers/gateway_handlers.js';
+import type {
+  RelayedConfiguration,
+  UsageAnswer,
+} from '../peers/gateway_handlers.js';
 import type {
   ConfigurationRequest,
   DirectoryRequest,
@@ -104,9 +103,9 @@
     return ask(reply => this.deps.positions.tell({kind: 'relay', reply}));
   }
 
-  override async usage(window: number): Promise<readonly ProcessCounts[]> {
+  override async usage(window: number): Promise<UsageAnswer | null> {
     const {usage} = this.deps;
-    if (!usage) return [];
+    if (!usage) return null;
     return ask(reply => usage.tell({kind: 'counts', window, reply}));
   }
 
--- a/packages/gateway/src/peers/gateway_handlers.ts
+++ b/packages/gateway/src/peers/gateway_handlers.ts
@@ -29,6 +29,12 @@
   readonly heldMs: number;
 }
 
+/** A VM's counts of a window and its estimate of the wall-clock time. */
+export interface UsageAnswer {
+  readonly wallMs: number;
+  readonly processes: readonly ProcessCounts[];
+}
+
 /** Handles the remote procedures that peers call on this VM. */
 export abstract class GatewayHandlers {
   /**
@@ -52,8 +58,8 @@
   abstract directory(req: DirectoryRequest): Promise<RelayedMembers | null>;
   /** Returns the log positions of the primaries that this VM knows. */
   abstract positions(): Promise<RelayedPositions>;
-  /** Returns the counts of a window that this VM has. */
-  abstract usage(window: number): Promise<readonly ProcessCounts[]>;
+  /** Returns the counts of a window that this VM has, if it counts. */
+  abstract usage(window: number): Promise<UsageAnswer | null>;
   /** Keeps the counts of another VM's process. */
   abstract keepUsage(counts: KeptCounts): void;
   /** Returns the number of tokens that this VM transfers to the caller. */
--- a/packages/gateway/src/peers/peer_set.ts
+++ b/packages/gateway/src/peers/peer_set.ts
@@ -3,7 +3,6 @@
 import type {
   LogPosition,
   PrimaryObservation,
-  ProcessCounts,
   Random,
   Result,
 } from '@pistachiorill/core';
@@ -14,7 +13,7 @@
 import type {RelayRequest, RelayedRows} from '../fleet/relayed_rows.js';
 import type {RelayedPositions} from '../fleet/position_task.js';
 import type {RelayedMembers} from '../operators/directory_task.js';
-import type {RelayedConfiguration} from './gateway_handlers.js';
+import type {RelayedConfiguration, UsageAnswer} from './gateway_handlers.js';
 import type {
   ConfigurationRequest,
   DirectoryRequest,
@@ -178,7 +177,7 @@
     vm: string,
     window: number,
     timeoutMs: number,
-  ): Answer<readonly ProcessCounts[]> {
+  ): Answer<UsageAnswer | null> {
     return this.call(vm, timeoutMs, (c, o) => c.usage.mutate({window}, o));
   }
 
--- a/packages/gateway/src/usage/collect_counts.ts
+++ b/packages/gateway/src/usage/collect_counts.ts
@@ -5,21 +5,33 @@
 const CONCURRENCY = 16;
 const COUNTS_TIMEOUT_MS = 700;
 
-/** The counts that VMs answered, by the VM that was asked. */
-export type CollectedCounts = ReadonlyMap<string, readonly ProcessCounts[]>;
+/** What one VM answered. */
+export interface CollectedAnswer {
+  readonly processes: readonly ProcessCounts[];
+  /** How far the VM's wall-clock time is ahead of that of this VM. */
+  readonly aheadMs: number;
+}
+
+/** The answers of VMs, by the VM that was asked. */
+export type CollectedCounts = ReadonlyMap<string, CollectedAnswer>;
 
 /** Asks VMs for their counts of a window; leaves out those without an answer. */
 export async function collectCounts(
   window: number,
   vms: readonly string[],
   peers: PeerSet,
+  wallTime: () => number,
 ): Promise<CollectedCounts> {
-  const collected = new Map<string, readonly ProcessCounts[]>();
+  const collected = new Map<string, CollectedAnswer>();
   const waiting = [...vms];
   const askNext = async (): Promise<void> => {
     for (let vm = waiting.shift(); vm !== undefined; vm = waiting.shift()) {
+      const askedAt = wallTime();
       const answer = await peers.usage(vm, window, COUNTS_TIMEOUT_MS);
-      if (answer.ok) collected.set(vm, answer.value);
+      if (!answer.ok || !answer.value) continue;
+      const {processes, wallMs} = answer.value;
+      const aheadMs = wallMs - (askedAt + wallTime()) / 2;
+      collected.set(vm, {processes, aheadMs});
     }
   };
   await Promise.all(Array.from({length: CONCURRENCY}, askNext));
--- a/packages/gateway/src/usage/report_log.ts
+++ b/packages/gateway/src/usage/report_log.ts
@@ -59,6 +59,13 @@
     );
   }
 
+  corrected(byMs: number): void {
+    this.log.warn(
+      {event: 'usage.clock-corrected', byMs},
+      'most VMs have another wall-clock time',
+    );
+  }
+
   dropped(window: number): void {
     this.log.warn(
       {event: 'usage.dropped', window},
--- a/packages/gateway/src/usage/report_task.ts
+++ b/packages/gateway/src/usage/report_task.ts
@@ -1,13 +1,13 @@
 import {
   REPORT_TIMEOUT_MS,
   decideUsageStep,
+  deviationOf,
   dueAt,
   firstRecordable,
-  newestWindow,
-  oldestKeptRow,
-  oldestUseful,
+  obsoleteRecords,
   rankDelayMs,
   rendezvousOrder,
+  reviewDropped,
   sumCounts,
   usageLeaseTerms,
 } from '@pistachiorill/core';
@@ -26,6 +26,7 @@
 import {isProven, isStoreResponsive, leaseEra} from '../fleet/fleet_view.js';
 import {LeaseRow, usageLease} from '../leadership/lease_row.js';
 import type {LeaseRowDependencies} from '../leadership/lease_row.js';
+import type {UsageAnswer} from '../peers/gateway_handlers.js';
 import type {PeerSet} from '../peers/peer_set.js';
 import type {UsageReportError, UsageReporter} from '../ports/usage_reporter.js';
 import {collectCounts} from './collect_counts.js';
@@ -147,6 +148,7 @@
     this.schedule(TICK_INTERVAL_MS);
     const {bounds, clock, view} = this.deps;
     const now = clock();
+    if (!isStoreResponsive(view(), now)) this.freeSince = undefined;
     if (!isProven(view(), now) || this.action === 'under-way') return;
     const wallMs = this.deps.usage.wallTimeAt(now);
     const lease = this.leaseState(now);
@@ -231,23 +233,25 @@
 
   /** Asks this VM's task and the VMs that have not answered yet. */
   private collect(window: number): void {
-    const {peers, usage} = this.deps;
+    const {clock, peers, usage} = this.deps;
+    const wallTime = (): number => usage.wallTimeAt(clock());
     const before = this.collection;
-    const answers = before?.window === window ? before.answers : new Map();
+    const known = before?.window === window ? before.answers : new Map();
     this.collection = {
       window,
       state: 'under-way',
       retryAt: Infinity,
-      answers,
+      answers: known,
       own: [],
     };
-    const missing = peers.names.filter(name => !answers.has(name));
+    const missing = peers.names.filter(name => !known.has(name));
     this.runInBackground(async () => {
-      const collected = await collectCounts(window, missing, peers);
-      const own = await ask<readonly ProcessCounts[]>(reply =>
+      const answers = await collectCounts(window, missing, peers, wallTime);
+      const own = await ask<UsageAnswer>(reply =>
         usage.tell({kind: 'counts', window, reply}),
       );
-      this.tell({kind: 'collected', window, own, answers: collected});
+      const {processes} = own;
+      this.tell({kind: 'collected', window, own: processes, answers});
     });
   }
 
@@ -259,6 +263,14 @@
     if (this.collection?.window !== window) return;
     const {clock, peers, usage} = this.deps;
     const answers = new Map([...this.collection.answers, ...newAnswers]);
+    const byMs = deviationOf([...newAnswers.values()].map(a => a.aheadMs));
+    if (byMs !== 0) {
+      // The counts may be those of a window that has not ended.
+      this.collection = undefined;
+      this.log.corrected(byMs);
+      usage.tell({kind: 'correct', byMs});
+      return;
+    }
     const isComplete = peers.names.every(name => answers.has(name));
     this.collection = {
       window,
@@ -288,28 +300,25 @@
       return this.lease.acquire(decision.fence, now);
     }
     if (step.kind !== 'record') return this.lease.extend(now);
-    const {own = [], answers = new Map()} = this.collection ?? {};
-    const counts = sumCounts([...own, ...[...answers.values()].flat()]);
+    const {bounds, view} = this.deps;
+    const {collection} = this;
+    const own = collection?.own ?? [];
+    const answers: CollectedCounts = collection?.answers ?? new Map();
+    const counts = sumCounts([
+      ...own,
+      ...[...answers.values()].flatMap(answer => answer.processes),
+    ]);
     const {era} = this.lease;
     const key = usageKey(step.window);
     return this.lease.extend(now, {
       expected: new Map([[key, 0]]),
       puts: new Map([[key, JSON.stringify({counts, era})]]),
-      removals: this.oldRows(wallMs),
+      removals: obsoleteRecords(view().rows.usage, bounds, wallMs).map(
+        usageKey,
+      ),
     });
   }
 
-  /** Rows that are no longer needed; the newest one always is. */
-  private oldRows(wallMs: number): readonly string[] {
-    const {bounds, view} = this.deps;
-    const records = view().rows.usage;
-    const oldest = Math.min(
-      oldestKeptRow(wallMs, bounds),
-      newestWindow(records) ?? Infinity,
-    );
-    return [...records.keys()].filter(item => item < oldest).map(usageKey);
-  }
-
   private written({
     step,
     result,
@@ -366,24 +375,23 @@
     return this.lease.current?.value.fence;
   }
 
-  /**
-   * Gives up the windows whose report is too late to be of use. Those without a
-   * record before the first recordable one were given up before.
-   */
+  /** Gives up the windows whose report is too late to be of use. */
   private dropOld(firstRecordable: number, wallMs: number): void {
     const {bounds, onOutcome, view} = this.deps;
-    const oldest = oldestUseful(wallMs, bounds);
-    const from = this.reviewedTo ?? oldest - 1;
-    this.reviewedTo = Math.max(from, oldest - 1);
-    for (let window = from + 1; window < oldest; window++) {
-      const isRecorded = view().rows.usage.has(window);
-      if (this.settledWindows.has(window)) continue;
-      if (!isRecorded && window < firstRecordable) continue;
+    const {reviewedTo, settledWindows: settled} = this;
+    const records = view().rows.usage;
+    const review = reviewDropped(
+      {reviewedTo, records, settled, firstRecordable},
+      bounds,
+      wallMs,
+    );
+    this.reviewedTo = review.reviewedTo;
+    for (const window of review.dropped) {
       this.log.dropped(window);
       onOutcome('dropped');
     }
-    for (const window of this.settledWindows) {
-      if (window < oldest) this.settledWindows.delete(window);
+    for (const window of settled) {
+      if (window <= review.reviewedTo) settled.delete(window);
     }
   }
 }
--- a/packages/gateway/src/usage/usage_task.ts
+++ b/packages/gateway/src/usage/usage_task.ts
@@ -1,4 +1,5 @@
 import {
+  MAX_VMS_WITHOUT_SELECTION,
   NO_WALL_TIME,
   READING_INTERVAL_MS,
   WindowCounts,
@@ -8,6 +9,7 @@
   oldestUseful,
   resolveClockSkip,
   rendezvousOrder,
+  shiftBy,
   wallTimeAt,
   windowAt,
 } from '@pistachiorill/core';
@@ -19,16 +21,13 @@
 import {Task} from '@pistachiorill/tasks';
 import type {Clock, Reply} from '@pistachiorill/tasks';
 import type {FleetView} from '../fleet/fleet_view.js';
+import type {UsageAnswer} from '../peers/gateway_handlers.js';
 import type {KeptCounts} from '../peers/gateway_router.js';
 import type {PeerSet} from '../peers/peer_set.js';
 import {ANONYMOUS_WORKSPACE} from '../session/session_statement.js';
 
-const TICK_INTERVAL_MS = 1_000;
-/**
- * In fleets up to this size each VM keeps its counts at another one, as those of
- * one VM exceed the tolerance of a report.
- */
-const MAX_BACKUP_FLEET = 12;
+/** A VM that is killed owes the counts of this time in a small fleet. */
+const TICK_INTERVAL_MS = 500;
 const BACKUP_TIMEOUT_MS = 400;
 /** A stop waits this long for the VMs that keep the counts. */
 const HAND_OVER_TIMEOUT_MS = 300;
@@ -50,11 +49,13 @@
   | {
       readonly kind: 'counts';
       readonly window: number;
-      readonly reply: Reply<readonly ProcessCounts[]>;
+      readonly reply: Reply<UsageAnswer>;
     }
   /** Another VM's counts so far, in case it ends. */
   | {readonly kind: 'keep'; readonly counts: KeptCounts}
   | {readonly kind: 'clock-skipped'; readonly skippedMs: number}
+  /** Other VMs show that the estimated wall-clock time is wrong. */
+  | {readonly kind: 'correct'; readonly byMs: number}
   | {readonly kind: 'tick'}
   /** Passes the counts on before this process exits. */
   | {readonly kind: 'hand-over'; readonly reply: Reply<void>}
@@ -118,6 +119,9 @@
           this.deps.view().storeClock.maxOffset,
         );
         return;
+      case 'correct':
+        this.wallTime = shiftBy(this.wallTime, message.byMs);
+        return;
       case 'hand-over':
         this.runInBackground(async () => {
           await this.passOn(HAND_OVER_PEERS, HAND_OVER_TIMEOUT_MS);
@@ -170,13 +174,14 @@
     this.backup = 'outdated';
   }
 
-  private countsOf(window: number): readonly ProcessCounts[] {
-    const {vm, incarnation} = this.deps;
+  private countsOf(window: number): UsageAnswer {
+    const {vm, incarnation, clock} = this.deps;
     const kept = [...this.kept.values()].flatMap(process => {
       const counts = process.windows.get(window);
       return counts ? [{...process.name, counts}] : [];
     });
-    return [{vm, incarnation, counts: this.own.of(window)}, ...kept];
+    const own = {vm, incarnation, counts: this.own.of(window)};
+    return {wallMs: this.wallTimeAt(clock()), processes: [own, ...kept]};
   }
 
   private keep({vm, incarnation, windows}: KeptCounts): void {
@@ -206,8 +211,12 @@
     }
   }
 
+  /**
+   * In a small fleet each VM keeps its counts at another one: those of one VM
+   * exceed the tolerance of a report.
+   */
   private needsBackup(): boolean {
-    return this.deps.peers.names.length < MAX_BACKUP_FLEET;
+    return this.deps.peers.names.length < MAX_VMS_WITHOUT_SELECTION;
   }
 
   /** Passes the counts on to VMs that may be asked for them instead. */
