Check usage reports with real processes in the soak

Cause: the count at members, the call to the platform and the settings had no test, and the reports none with real processes.

Every soak run has windows of 1 s; it fails on two counts for one window, a shared or lower fencing number and holders in turns, and prints how many windows were reported and were within 5 %.

--- a/packages/core/src/leadership/__tests__/take_duty.test.ts
+++ b/packages/core/src/leadership/__tests__/take_duty.test.ts
@@ -36,6 +36,31 @@
   });
 });
 
+describe('lease with other terms', () => {
+  // Guards against a usage lease that expires, or waits for a new era, like that
+  // of the coordinator.
+  it('lasts and waits as its terms say', () => {
+    const terms = {durationMs: 700, eraWaitMs: 300};
+    const decide = (storeMs: number, seenForMs: number, number = 0) =>
+      decideCoordinatorLease(
+        'vm-b',
+        HELD,
+        storeMs,
+        {number, seenForMs, start: 'observed'},
+        terms,
+      );
+    expect({
+      held: decide(1_699, 0),
+      expired: decide(1_700, 0),
+      newEra: decide(9_000, 299, 1),
+      oldEra: decide(9_000, 300, 1),
+      order: [1_000, 1_001].map(latestMs =>
+        holdsCoordinatorLease('vm-a', HELD, latestMs, 699, 0, terms),
+      ),
+    }).toMatchSnapshot();
+  });
+});
+
 describe('order of the coordinator', () => {
   // Guards against an order that arrives after an order of the next holder.
   it('is allowed only if it ends before the lease expires', () => {
--- a/soak/src/checks/check_history.ts
+++ b/soak/src/checks/check_history.ts
@@ -46,6 +46,10 @@
   | 'no-outcome'
   /** A process ended that nobody had signalled to end. */
   | 'process-ended'
+  /** A window was reported twice with different counts. */
+  | 'usage-report-differs'
+  /** Usage reports had fencing numbers or holders out of order. */
+  | 'usage-holders'
   /** Too few operations succeeded after the last fault. */
   | 'no-recovery';
 
--- a/soak/src/run_soak.ts
+++ b/soak/src/run_soak.ts
@@ -23,6 +23,8 @@
 import {checkLines} from './checks/check_lines.js';
 import {checkLost} from './checks/check_lost.js';
 import type {LostContext, Stall} from './checks/check_lost.js';
+import {checkUsage, summarizeUsage} from './checks/check_usage.js';
+import type {UsageSummary} from './checks/check_usage.js';
 import {Caller} from './clients/caller.js';
 import {HOLDING_PACES, RoamingPace} from './clients/caller_pace.js';
 import type {CallerPace} from './clients/caller_pace.js';
@@ -32,7 +34,12 @@
 import {FaultRecord} from './faults/fault_record.js';
 import {MemoryWatch} from './memory_watch.js';
 import {StallMonitor} from './stall_monitor.js';
-import {GRACE_MS, VmProcess} from './vm_process.js';
+import {
+  GRACE_MS,
+  USAGE_LEASE_MS,
+  USAGE_WINDOW_MS,
+  VmProcess,
+} from './vm_process.js';
 
 /** The size of a soak run and the program that it tests. */
 export interface SoakSettings {
@@ -67,6 +74,8 @@
   readonly closeRequests: number;
   /** Processes that SIGKILL ended at the end of the grace period. */
   readonly overdueStops: number;
+  /** The windows of usage reports that arrived. */
+  readonly usage: UsageSummary;
   readonly peakMemoryMb: number;
   /** The time in which this process did not run. */
   readonly stalledMs: number;
@@ -80,6 +89,8 @@
 const SLOW_STORE_MS = 250;
 /** Separates the random numbers of the callers that hold sessions. */
 const HOLDERS_SEED = 3_000_017;
+/** Reports that arrive this soon after a VM was paused or cut off do not count. */
+const THAW_SLACK_MS = 300;
 /** Users require that a quarter of the requests is served after a fault. */
 const MIN_SERVED_SHARE = 0.25;
 
@@ -153,6 +164,12 @@
     ...otherViolations,
     ...checkLost(history, lostContext),
     ...checkLines(history, vmAt),
+    ...checkUsage(history, {
+      leaseMs: USAGE_LEASE_MS,
+      isExcused: ({holder, at}) =>
+        record.isDisrupted(holder, at - THAW_SLACK_MS, at) ||
+        stallMonitor.hasStall(at - THAW_SLACK_MS, at, THAW_SLACK_MS),
+    }),
     ...unexpectedExits(vms),
   ];
   const cut = history.exchanges.filter(item => item.end === 'cut').length;
@@ -172,6 +189,7 @@
       item => item.kind === 'close-request',
     ).length,
     overdueStops,
+    usage: summarizeUsage(history, USAGE_WINDOW_MS),
     peakMemoryMb: memoryWatch.peakMb,
     stalledMs: stallMonitor.stalledMs,
     violations,
--- a/soak/src/vm_process.ts
+++ b/soak/src/vm_process.ts
@@ -22,6 +22,10 @@
 
 /** The time between SIGTERM and SIGKILL at a planned stop. */
 export const GRACE_MS = 3_000;
+/** The windows of usage reports; shorter than usual, as runs are short. */
+export const USAGE_WINDOW_MS = 1_000;
+/** The time within which two VMs may not send usage reports in turns. */
+export const USAGE_LEASE_MS = 1_000;
 const ENDING_SIGNALS: ReadonlySet<NodeJS.Signals> = new Set([
   'SIGTERM',
   'SIGINT',
@@ -166,6 +170,10 @@
       `address = ${this.paths.orderAddress}`,
       '[limits]',
       `grace_ms = ${GRACE_MS}`,
+      '[usage]',
+      `window_s = ${USAGE_WINDOW_MS / 1_000}`,
+      'late_s = 2',
+      `lease_ms = ${USAGE_LEASE_MS}`,
       '[log]',
       `level = ${this.logLevel}`,
       '',
