--- a/packages/core/src/usage/__tests__/wall_time.test.ts
+++ b/packages/core/src/usage/__tests__/wall_time.test.ts
@@ -2,6 +2,7 @@
 import {
   NO_WALL_TIME,
   READING_INTERVAL_MS,
+  deviationOf,
   noteClockSkip,
   noteReading,
   resolveClockSkip,
@@ -51,3 +52,18 @@
     }).toMatchSnapshot();
   });
 });
+
+describe('deviationOf', () => {
+  // Guards against a holder that follows one VM whose clock is wrong, and against
+  // one that never learns that its own is.
+  it.each([
+    ['nobody answers', []],
+    ['one VM differs', [-7_000]],
+    ['one of two VMs differs', [-7_000, 0]],
+    ['both VMs differ', [-7_000, -6_990]],
+    ['half of the VMs differ', [-7_000, -7_000, 0]],
+    ['all are close', [900, -900, 800, 10]],
+  ])('%s', (unusedName, aheadMs) => {
+    expect(deviationOf(aheadMs)).toMatchSnapshot();
+  });
+});
--- a/packages/core/src/usage/wall_time.ts
+++ b/packages/core/src/usage/wall_time.ts
@@ -54,17 +54,18 @@
   return sorted[Math.floor((sorted.length - 1) / 2)] ?? 0;
 }
 
-/** Below this, VMs that differ from the others keep their own time. */
+/** A VM that differs from others by less keeps its own time. */
 const MAX_DEVIATION_MS = 1_000;
 
 /**
  * Returns by how much a VM corrects its estimate, given how far other VMs are
- * ahead of it. A process that started while its wall clock was wrong has no other
- * way to tell.
+ * ahead of it: not at all unless it differs from more than half of the VMs. A
+ * process that started while its wall clock was wrong has no other way to tell.
  */
 export function deviationOf(aheadMs: readonly number[]): number {
-  const median = medianOf([0, ...aheadMs]);
-  return Math.abs(median) > MAX_DEVIATION_MS ? median : 0;
+  const different = aheadMs.filter(ms => Math.abs(ms) > MAX_DEVIATION_MS);
+  const isMajority = different.length * 2 > aheadMs.length + 1;
+  return isMajority ? medianOf(different) : 0;
 }
 
 /** The estimated wall-clock time at `now`. */
--- a/packages/gateway/src/usage/report_task.ts
+++ b/packages/gateway/src/usage/report_task.ts
@@ -263,7 +263,7 @@
     if (this.collection?.window !== window) return;
     const {clock, peers, usage} = this.deps;
     const answers = new Map([...this.collection.answers, ...newAnswers]);
-    const byMs = deviationOf([...newAnswers.values()].map(a => a.aheadMs));
+    const byMs = deviationOf([...answers.values()].map(a => a.aheadMs));
     if (byMs !== 0) {
       // The counts may be those of a window that has not ended.
       this.collection = undefined;
