--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -15,7 +15,10 @@
 export {Random} from './common/random.js';
 export {rankDelayMs} from './common/rank_delay.js';
 export {rendezvousOrder} from './common/rendezvous.js';
-export {selectRepresentatives} from './common/representatives.js';
+export {
+  MAX_VMS_WITHOUT_SELECTION,
+  selectRepresentatives,
+} from './common/representatives.js';
 export {fail, ok} from './common/result.js';
 export type {Result} from './common/result.js';
 export type * from './configuration/configuration.js';
@@ -93,6 +96,7 @@
 export type {TransactionScope} from './statement/classify_statement.js';
 export type * from './configuration/runtime_configuration.js';
 export * from './leadership/index.js';
+export * from './usage/index.js';
 export * from './quota/transfer/decide_transfer.js';
 export * from './quota/transfer/share_table.js';
 export * from './quota/transfer/token_bucket.js';
--- a/packages/gateway/src/daemon/daemon_peer_handlers.ts
+++ b/packages/gateway/src/daemon/daemon_peer_handlers.ts
@@ -6,10 +6,14 @@
 import type {RelayRequest, RelayedRows} from '../fleet/relayed_rows.js';
 import type {LeadershipTask} from '../leadership/leadership_task.js';
 import {GatewayHandlers} from '../peers/gateway_handlers.js';
-import type {RelayedConfiguration} from '../peers/gateway_handlers.js';
+import type {
+  RelayedConfiguration,
+  UsageAnswer,
+} from '../peers/gateway_handlers.js';
 import type {
   ConfigurationRequest,
   DirectoryRequest,
+  KeptCounts,
   StopRequest,
 } from '../peers/gateway_router.js';
 import type {ConfigurationTask} from '../operators/configuration_task.js';
@@ -18,6 +22,7 @@
   RelayedMembers,
 } from '../operators/directory_task.js';
 import type {QuotaTask} from '../quota/quota_task.js';
+import type {UsageTask} from '../usage/usage_task.js';
 
 /** The tasks that answer peers' requests. */
 export interface PeerHandlerDependencies {
@@ -28,6 +33,8 @@
   readonly configuration: ConfigurationTask;
   readonly directory: DirectoryTask;
   readonly positions: PositionTask;
+  /** Undefined if the deployment has no usage reports. */
+  readonly usage: UsageTask | undefined;
 }
 
 /** Forwards each peer request to the task that owns the state in question. */
@@ -96,6 +103,16 @@
     return ask(reply => this.deps.positions.tell({kind: 'relay', reply}));
   }
 
+  override async usage(window: number): Promise<UsageAnswer | null> {
+    const {usage} = this.deps;
+    if (!usage) return null;
+    return ask(reply => usage.tell({kind: 'counts', window, reply}));
+  }
+
+  override keepUsage(counts: KeptCounts): void {
+    this.deps.usage?.tell({kind: 'keep', counts});
+  }
+
   override tokens(workspace: string, asked: number): Promise<number> {
     return ask(reply =>
       this.deps.quota.tell({kind: 'give', workspace, asked, reply}),
--- a/packages/gateway/src/peers/peer_set.ts
+++ b/packages/gateway/src/peers/peer_set.ts
@@ -13,11 +13,12 @@
 import type {RelayRequest, RelayedRows} from '../fleet/relayed_rows.js';
 import type {RelayedPositions} from '../fleet/position_task.js';
 import type {RelayedMembers} from '../operators/directory_task.js';
-import type {RelayedConfiguration} from './gateway_handlers.js';
+import type {RelayedConfiguration, UsageAnswer} from './gateway_handlers.js';
 import type {
   ConfigurationRequest,
   DirectoryRequest,
   GatewayRouter,
+  KeptCounts,
   StopRequest,
 } from './gateway_router.js';
 
@@ -171,6 +172,20 @@
     );
   }
 
+  /** Asks a VM for the counts of a window that it has. */
+  usage(
+    vm: string,
+    window: number,
+    timeoutMs: number,
+  ): Answer<UsageAnswer | null> {
+    return this.call(vm, timeoutMs, (c, o) => c.usage.mutate({window}, o));
+  }
+
+  /** Asks a VM to keep the counts of this process. */
+  keepUsage(vm: string, counts: KeptCounts, timeoutMs: number): Answer<void> {
+    return this.call(vm, timeoutMs, (c, o) => c.keepUsage.mutate(counts, o));
+  }
+
   /** Closes all connections to peers. */
   close(): void {
     for (const peer of this.peers.values()) peer.agent.destroy();
