Derive a member's concurrency limit from its answers

A member that had just started, recovered or been promoted got the full number of concurrent statements from every VM at once: 83 VMs fill the queue of a member with 4 slots several times over, so that it answers BUSY and serves what it accepted late. A member that was overloaded or failed part of its requests got no fewer statements afterwards.

Each VM now limits its concurrent statements at such a member to 1 and raises the limit with normal answers, at most twofold per round trip. Refusals, failures and latency far above the member's baseline lower it. A round of normal answers at the full limit lifts it; a member that failed soon after its last recovery keeps it for longer. Members in normal operation keep the limit of slots times STATEMENTS_PER_SLOT. The warm-up rate is unchanged: a split by demand would need messages between VMs to stay below its total.

Simulated in adaptive_concurrency.test.ts, 83 VMs, reads at 500/s for 8 s, of which the replica's first 200 take eight times as long.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -3,6 +3,7 @@
  * membership and configuration.
  */
 export {DeficitRoundRobinPolicy} from './admission/deficit_round_robin_policy.js';
+export * from './admission/adaptive_concurrency.js';
 export * from './admission/expected_wait.js';
 export {FifoPolicy} from './admission/fifo_policy.js';
 export {QueuePolicy} from './admission/queue_policy.js';
--- a/packages/gateway/src/daemon/database_set.ts
+++ b/packages/gateway/src/daemon/database_set.ts
@@ -11,6 +11,7 @@
 import type {OperatorState} from '../ports/configuration_source.js';
 import type {ListedMember} from '../ports/member_directory.js';
 import type {MemberLinkFactory} from '../ports/member_link.js';
+import type {GatewayMetrics} from '../telemetry/gateway_metrics.js';
 import type {GatewaySettings} from './gateway_settings.js';
 
 /**
@@ -30,6 +31,7 @@
   readonly onSuspect: (group: string, primary: string, since: number) => void;
   readonly clock: Clock;
   readonly log: Logger;
+  readonly metrics: GatewayMetrics;
 }
 
 /** A primary that this VM cannot reach. */
@@ -119,8 +121,8 @@
   }
 
   private open(group: string): void {
-    const {settings, links, clock, log, view, onSuspect, requestPositions} =
-      this.deps;
+    const {settings, links, clock, log, metrics, view, onSuspect} = this.deps;
+    const {requestPositions} = this.deps;
     const {vm, regions} = settings;
     const task = new DatabaseTask(group, {
       vm: {dataCentre: vm.data_centre, region: vm.region},
@@ -134,6 +136,7 @@
         onSuspect(name, primary, since);
       },
       log,
+      metrics,
       onFailed: err =>
         log.error(
           {event: 'database.failed', group, err},
--- a/packages/gateway/src/daemon/gateway_daemon.ts
+++ b/packages/gateway/src/daemon/gateway_daemon.ts
@@ -154,6 +154,7 @@
       },
       clock,
       log,
+      metrics: this.metrics,
     });
     const transact = (
       transaction: RowTransaction,
--- /dev/null
+++ b/packages/gateway/src/database/__tests__/adaptive_concurrency.test.ts
@@ -0,0 +1,71 @@
+import {describe, expect, it} from 'vitest';
+import {simulateLoad} from '../../testing/simulated_load.js';
+import type {SimulatedLoad} from '../../testing/simulated_load.js';
+
+const READS = {
+  name: 'reads',
+  requirement: 'recent',
+  perSecond: 500,
+  serviceMs: 14,
+  targetMs: 201,
+  deadlineMs: 1_203,
+} as const;
+const GROUP = {a: 'a:1', b: 'b:1', c: 'c:1'};
+const LOAD: Omit<SimulatedLoad, 'limits'> = {
+  seed: 1,
+  vms: 83,
+  slots: 4,
+  kinds: [READS],
+  durationMs: 8_000,
+  listings: [
+    {at: 0, members: GROUP},
+    {at: 1_000, members: {...GROUP, c: 'c:2'}},
+  ],
+  // The first 200 statements of the restarted member take eight times as long.
+  slowness: (address, executed) =>
+    address === 'c:2' && executed < 200 ? 8 : 1,
+};
+const OUTAGE = {address: 'c:1', from: 1_000, to: 3_000};
+const CASES: ReadonlyArray<readonly [string, Omit<SimulatedLoad, 'limits'>]> = [
+  ['a replica restarts cold', LOAD],
+  ['a replica restarts cold, 8 VMs', {...LOAD, vms: 8}],
+  [
+    'a replica recovers cold',
+    {
+      ...LOAD,
+      listings: [{at: 0, members: GROUP}],
+      outage: OUTAGE,
+      slowness: (address, executed) =>
+        address === 'c:1' && executed < 200 ? 8 : 1,
+    },
+  ],
+  [
+    'the only member starts cold, 8 VMs',
+    {
+      ...LOAD,
+      vms: 8,
+      kinds: [{...READS, requirement: 'primary', perSecond: 210}],
+      listings: [
+        {at: 0, members: {b: 'b:1'}},
+        {at: 1, members: {a: 'a:1'}},
+      ],
+      slowness: (unusedAddress, executed) => (executed < 200 ? 4 : 1),
+    },
+  ],
+];
+
+describe('the concurrency limit of a member', () => {
+  // Guards against a member that is flooded by all VMs as soon as it is listed
+  // or responds again, so that it refuses statements that others could serve.
+  it.each(CASES)('compared with none: %s', (unusedName, load) => {
+    const none = simulateLoad({...load, limits: 'none'})['reads'];
+    const adaptive = simulateLoad({...load, limits: 'adaptive'})['reads'];
+    expect({none, adaptive}).toMatchSnapshot();
+    expect(adaptive?.refused).toBeLessThanOrEqual(none?.refused ?? -1);
+    expect(adaptive?.busy).toBeLessThanOrEqual((none?.busy ?? -1) / 20);
+    // A single member is too slow for the load at first, and who waits is late.
+    if (load.listings[0]?.members === GROUP) {
+      expect(adaptive?.inTime).toBeGreaterThanOrEqual(none?.inTime ?? Infinity);
+    }
+  });
+});
--- a/packages/gateway/src/database/database_task.ts
+++ b/packages/gateway/src/database/database_task.ts
@@ -7,21 +7,19 @@
 import {Task} from '@pistachiorill/tasks';
 import type {Reply} from '@pistachiorill/tasks';
 import type {ListedMember} from '../ports/member_directory.js';
-import type {
-  CheckoutValidity,
-  DatabaseMessage,
-  StopMode,
-} from './database_message.js';
+import type {CheckoutValidity, DatabaseMessage} from './database_message.js';
 import type {DatabaseDependencies} from './database_tools.js';
 import type {Checkout, CheckoutRefusal, CheckoutRequest} from './checkout.js';
 import {DeferredCheckouts} from './deferred_checkouts.js';
 import {poolRefusal} from './lease_refusals.js';
 import {MemberConnection} from './member_connection.js';
+import {MemberLimitLog} from './member_limit_log.js';
 import {MemberProbes} from './member_probes.js';
 import {MemberTable} from './member_table.js';
 import {placeStatement} from './place_statement.js';
 import type {Placement} from './place_statement.js';
 import {PendingPrimaryStops} from './pending_primary_stops.js';
+import {primaryToStop, promotedMember} from './primary_to_stop.js';
 import {PrimarySampler} from './primary_sampler.js';
 import {RecentPositions} from './recent_positions.js';
 
@@ -50,7 +48,13 @@
     const open = (listed: ListedMember, workspace: string): MemberConnection =>
       this.openConnection(listed, workspace);
     this.sampler = new PrimarySampler({open, clock});
-    this.members = new MemberTable({vm, regionOf, open});
+    const limitLog = new MemberLimitLog(group, deps);
+    this.members = new MemberTable({
+      vm,
+      regionOf,
+      open,
+      onConcurrency: (member, state) => limitLog.changed(member, state),
+    });
     this.probes = new MemberProbes(group, deps.links, this.members);
   }
 
@@ -185,21 +189,14 @@
       {event: 'leadership.learned', group: this.group, version, record},
       'leadership record of the group changed',
     );
-    const former = before?.phase === 'settled' ? before.primary : undefined;
-    if (record.phase === 'moving') {
-      const mode = record.reason === 'leaving' ? 'finish' : 'abandon';
-      this.stopUsing(record.from, mode);
-    } else if (former !== undefined && former !== record.primary) {
-      this.stopUsing(former, 'abandon');
-    }
-    this.retryDeferred(now);
-  }
-
-  /** Stops using a former primary; its statements finish or are aborted. */
-  private stopUsing(member: string, mode: StopMode): void {
-    const pool = this.members.pool(member);
-    if (mode === 'abandon') pool?.abandon();
+    const stop = primaryToStop(before, record);
+    // Statements of the former primary finish or are aborted.
+    const pool = stop && this.members.pool(stop.member);
+    if (stop?.mode === 'abandon') pool?.abandon();
     else pool?.drain();
+    const promoted = promotedMember(before, record);
+    if (promoted !== undefined) this.members.promoted(promoted, now);
+    this.retryDeferred(now);
   }
 
   private stopPrimary(
--- a/packages/gateway/src/database/database_tools.ts
+++ b/packages/gateway/src/database/database_tools.ts
@@ -5,6 +5,7 @@
 import type {Clock} from '@pistachiorill/tasks';
 import type {Logger} from '@pistachiorill/telemetry';
 import type {MemberLinkFactory} from '../ports/member_link.js';
+import type {GatewayMetrics} from '../telemetry/gateway_metrics.js';
 
 /** The services of the VM that a group's task uses. */
 export interface DatabaseDependencies {
@@ -32,6 +33,7 @@
     since: number,
   ) => void;
   readonly log: Logger;
+  readonly metrics?: GatewayMetrics;
   /** Reports an unexpected exception. */
   readonly onFailed: (err: unknown) => void;
 }
--- a/packages/gateway/src/database/lease_refusals.ts
+++ b/packages/gateway/src/database/lease_refusals.ts
@@ -1,6 +1,6 @@
 import type {PrimaryLeaseDecision} from '@pistachiorill/core';
 import type {CheckoutRefusal} from './checkout.js';
-import type {PoolRefusal} from './member_pool.js';
+import type {PoolRefusal} from './pool_request.js';
 
 /** How soon a caller may retry a refused statement. */
 const DEFAULT_RETRY_AFTER_MS = 50;
--- a/packages/gateway/src/database/member_connection.ts
+++ b/packages/gateway/src/database/member_connection.ts
@@ -89,6 +89,7 @@
   readonly applied: LogPosition | undefined;
   /** Whether the request was a caller's statement or a setup command. */
   readonly work: 'statement' | 'setup';
+  readonly outcome: 'done' | MemberErrorKind;
 }
 
 /**
@@ -187,6 +188,7 @@
         sentAt: this.clock(),
         applied: undefined,
         work: 'setup',
+        outcome: 'done',
       });
       if (this.state === 'closed') return fail(CONNECTION_CLOSED);
       this.recordedState = 'clean';
@@ -237,8 +239,13 @@
     this.events.onSent();
     const result = await this.link.run(request, Math.max(1, timeoutMs));
     if (result.ok) {
-      const {applied} = result.value;
-      this.events.onAnswered({sentAt, applied, work});
+      const {applied, outcome} = result.value;
+      this.events.onAnswered({
+        sentAt,
+        applied,
+        work,
+        outcome: outcome.kind === 'done' ? 'done' : outcome.error.kind,
+      });
     } else {
       this.close();
       this.events.onFault(result.err);
--- a/packages/gateway/src/database/member_pool.ts
+++ b/packages/gateway/src/database/member_pool.ts
@@ -1,28 +1,20 @@
-import {DeficitRoundRobinPolicy, haveSameValues} from '@pistachiorill/core';
-import type {SessionValues} from '@pistachiorill/core';
-import type {MemberConnection} from './member_connection.js';
-
-/** A statement's or transaction's demand for a connection. */
-export interface ConnectionRequest {
-  readonly workspace: string;
-  readonly values: SessionValues;
-  readonly use: 'statement' | 'transaction';
-  /** The time at which the wait for a connection ends. */
-  readonly until: number;
-}
-
-/** A queued request; either `grant` or `refuse` is called, once. */
-export interface PoolWaiter extends ConnectionRequest {
-  readonly grant: (connection: MemberConnection) => void;
-  readonly refuse: (reason: PoolRefusal) => void;
-}
-
-/** Why a pool granted no connection. */
-export type PoolRefusal =
-  | 'queue-full'
-  | 'wait-timed-out'
-  /** The member takes no new work; another one may run the statement. */
-  | 'pool-drained';
+import {
+  DeficitRoundRobinPolicy,
+  UNLIMITED_CONCURRENCY,
+  concurrencyLimit,
+  haveSameValues,
+  limitAfterFailure,
+  limitAfterStart,
+} from '@pistachiorill/core';
+import type {AdaptiveConcurrency} from '@pistachiorill/core';
+import {limitAfterResponse} from './limit_after_response.js';
+import type {MemberConnection, ResponseInfo} from './member_connection.js';
+import type {
+  ConnectionRequest,
+  MemberPoolLimits,
+  PoolRefusal,
+  PoolWaiter,
+} from './pool_request.js';
 
 interface PooledConnection {
   readonly connection: MemberConnection;
@@ -46,16 +38,6 @@
 /** A limit that was lowered after a refusal grows by one at this interval. */
 const LIMIT_RAISE_INTERVAL_MS = 200;
 
-/** The part of a member's capacity that a pool may use. */
-export interface MemberPoolLimits {
-  /** The maximum number of open connections. */
-  readonly connections: number;
-  /** The number of idle connections that this VM may keep open. */
-  readonly share: number;
-  /** The maximum number of concurrent statements outside transactions. */
-  readonly statements: number;
-}
-
 /**
  * The connections of one VM to one member and the queue of requests for them.
  * Each connection belongs to one workspace; workspaces are served round-robin.
@@ -70,12 +52,71 @@
   /** The number of connections that the member currently accepts. */
   private adaptiveLimit = Infinity;
   private limitChangedAt = -Infinity;
+  /** Transactions whose callers have not sent the next statement yet. */
+  private readonly pausedTransactions = new Set<MemberConnection>();
 
   constructor(
     private limits: MemberPoolLimits,
     private readonly open: (workspace: string) => MemberConnection,
+    /** The member's limit as known from an earlier pool. */
+    private recordedConcurrency: AdaptiveConcurrency = UNLIMITED_CONCURRENCY,
+    private readonly onConcurrency: (state: AdaptiveConcurrency) => void = () =>
+      undefined,
   ) {}
 
+  /** The limit on concurrent statements that the member's answers show. */
+  get concurrency(): AdaptiveConcurrency {
+    return this.recordedConcurrency;
+  }
+
+  private set concurrency(state: AdaptiveConcurrency) {
+    const before = this.recordedConcurrency;
+    this.recordedConcurrency = state;
+    if (before.reason !== state.reason || before.limit !== state.limit) {
+      this.onConcurrency(state);
+    }
+  }
+
+  /** The number of statements that may run concurrently. */
+  statementLimit(now: number): number {
+    return concurrencyLimit(this.concurrency, this.limits.statements, now);
+  }
+
+  /** Limits a member that started, recovered or was promoted. */
+  starts(reason: 'started' | 'recovered' | 'promoted', now: number): void {
+    this.concurrency = limitAfterStart(this.concurrency, reason, now);
+  }
+
+  /** Records that a connection sent a request. */
+  sent(connection: MemberConnection): void {
+    this.pausedTransactions.delete(connection);
+  }
+
+  /** Records a response. */
+  answered(
+    connection: MemberConnection,
+    info: ResponseInfo,
+    now: number,
+  ): void {
+    this.concurrency = limitAfterResponse(
+      this.concurrency,
+      info,
+      {inFlight: this.running, full: this.limits.statements},
+      now,
+    );
+    const item = this.connections.get(connection);
+    if (item?.use === 'transaction' && info.work === 'statement') {
+      this.pausedTransactions.add(connection);
+      this.serve(now);
+    }
+  }
+
+  /** Records that the member did not respond to a request. */
+  failed(now: number): void {
+    const {statements} = this.limits;
+    this.concurrency = limitAfterFailure(this.concurrency, statements, now);
+  }
+
   /** Checked-out connections and queued requests. */
   get inFlight(): number {
     return this.count(item => item.use !== 'idle') + this.queue.size;
@@ -106,7 +147,7 @@
 
   /** Whether a request would be granted without waiting. */
   canGrant(request: ConnectionRequest, now: number): boolean {
-    if (this.queue.size > 0 || !this.hasSlot(request.use)) return false;
+    if (this.queue.size > 0 || !this.hasSlot(request.use, now)) return false;
     return (
       this.hasIdle(request.workspace) ||
       ((this.isBelowConnectionLimit || this.oldestIdle() !== undefined) &&
@@ -129,6 +170,7 @@
   /** Takes a connection back and closes it unless it can be reused. */
   returnConnection(connection: MemberConnection, now: number): void {
     const item = this.connections.get(connection);
+    this.pausedTransactions.delete(connection);
     if (!item) return;
     if (connection.state === 'clean') {
       this.connections.set(connection, {...item, use: 'idle', since: now});
@@ -209,6 +251,7 @@
   }
 
   private closeConnection(connection: MemberConnection): void {
+    this.pausedTransactions.delete(connection);
     this.connections.delete(connection);
     connection.tell({kind: 'close'});
   }
@@ -238,7 +281,7 @@
     request: ConnectionRequest,
     now: number,
   ): MemberConnection | undefined {
-    if (!this.hasSlot(request.use)) return undefined;
+    if (!this.hasSlot(request.use, now)) return undefined;
     const connection = this.takeIdle(request) ?? this.openFor(request, now);
     if (connection) {
       const {workspace, use} = request;
@@ -286,13 +329,24 @@
     return this.connections.size < limit;
   }
 
-  /** Transactions are limited by the number of connections only. */
-  private hasSlot(use: ConnectionRequest['use']): boolean {
+  /**
+   * In normal operation transactions are limited by the number of connections
+   * only. Their statements count for the limit of a member that shows trouble.
+   */
+  private hasSlot(use: ConnectionRequest['use'], now: number): boolean {
+    if (this.concurrency.reason !== 'none') {
+      return this.running < this.statementLimit(now);
+    }
     if (use === 'transaction') return true;
     const running = this.count(item => item.use === 'statement');
     return running < this.limits.statements;
   }
 
+  /** The number of statements that run, also in transactions. */
+  private get running(): number {
+    return this.inUse - this.pausedTransactions.size;
+  }
+
   private oldestIdle(): MemberConnection | undefined {
     let oldest: PooledConnection | undefined;
     for (const item of this.connections.values()) {
--- a/packages/gateway/src/database/member_table.ts
+++ b/packages/gateway/src/database/member_table.ts
@@ -1,4 +1,5 @@
 import type {
+  AdaptiveConcurrency,
   LogPosition,
   MemberLoad,
   MemberRole,
@@ -6,6 +7,7 @@
 } from '@pistachiorill/core';
 import type {ListedMember} from '../ports/member_directory.js';
 import type {LinkFault} from '../ports/member_link.js';
+import {FormerLimits} from './former_limits.js';
 import {WarmupLimit} from './warmup_limit.js';
 import type {GroupView} from './database_message.js';
 import type {CheckoutRequest} from './checkout.js';
@@ -19,7 +21,7 @@
 } from './member_health.js';
 import type {MemberHealth} from './member_health.js';
 import {MemberPool} from './member_pool.js';
-import type {MemberPoolLimits} from './member_pool.js';
+import type {MemberPoolLimits} from './pool_request.js';
 
 /** A replica that lacks a required position is avoided for this long. */
 const BEHIND_AVOID_MS = 150;
@@ -36,6 +38,8 @@
   readonly regionOf: (dataCentre: string) => string;
   /** Creates a connection to a member for a workspace. */
   readonly open: (listed: ListedMember, workspace: string) => MemberConnection;
+  /** Called when the limit on a member's concurrent statements changes. */
+  readonly onConcurrency?: (member: string, state: AdaptiveConcurrency) => void;
 }
 
 interface MemberEntry {
@@ -55,6 +59,7 @@
 export class MemberTable {
   private readonly entries = new Map<string, MemberEntry>();
   private dataCentresOut: ReadonlySet<string> = new Set();
+  private readonly formerLimits = new FormerLimits();
 
   constructor(private readonly deps: MemberTableDependencies) {}
 
@@ -68,9 +73,16 @@
       // Removed, or restarted at another address under the same name.
       entry.pool.drain();
       entry.state = 'gone';
+      this.formerLimits.record(member, entry.pool.concurrency);
       if (current || entry.pool.size === 0) this.entries.delete(member);
     }
     for (const item of view.members) this.updateEntry(item, view, now);
+    this.formerLimits.listed(view.members, now);
+  }
+
+  /** Limits a member that has just become primary. */
+  promoted(member: string, now: number): void {
+    this.pool(member)?.starts('promoted', now);
   }
 
   private updateEntry(
@@ -79,8 +91,12 @@
     now: number,
   ): void {
     const limits = poolLimitsOf(listed, view);
-    const entry =
-      this.entries.get(listed.member) ?? this.addEntry(listed, limits);
+    const known = this.entries.get(listed.member);
+    const entry = known ?? this.addEntry(listed, limits);
+    const before = known?.state === 'listed' ? known.listed : undefined;
+    if (this.formerLimits.hasStarted(before, listed)) {
+      entry.pool.starts('started', now);
+    }
     entry.listed = listed;
     entry.state = 'listed';
     entry.pool.setLimits(limits);
@@ -100,8 +116,11 @@
     const entry: MemberEntry = {
       listed,
       state: 'listed',
-      pool: new MemberPool(limits, workspace =>
-        this.deps.open(listed, workspace),
+      pool: new MemberPool(
+        limits,
+        workspace => this.deps.open(listed, workspace),
+        this.formerLimits.get(listed.member),
+        state => this.deps.onConcurrency?.(listed.member, state),
       ),
       health: INITIAL_MEMBER_HEALTH,
       pending: new Map(),
@@ -186,7 +205,7 @@
         role,
         proximity: this.proximityOf(listed),
         inFlight: pool?.inFlight ?? 0,
-        slots: listed.slots,
+        slots: Math.min(listed.slots, pool?.statementLimit(now) ?? Infinity),
         meanLatencyMs: health.meanLatencyMs,
         connection: pool?.hasIdle(request.workspace) ? 'idle' : 'to-open',
         applied: health.applied,
@@ -201,19 +220,25 @@
 
   /** Records that a connection sent a request. */
   sent(member: string, connection: MemberConnection, now: number): void {
-    this.entries.get(member)?.pending.set(connection, now);
+    const entry = this.entries.get(member);
+    entry?.pending.set(connection, now);
+    entry?.pool.sent(connection);
   }
 
   /** Records a response; returns whether the member was failing before. */
   answered(
     member: string,
     connection: MemberConnection,
-    {sentAt, applied, work}: ResponseInfo,
+    info: ResponseInfo,
     at: number,
   ): boolean {
+    const {sentAt, applied, work} = info;
     this.entries.get(member)?.pending.delete(connection);
-    this.pool(member)?.accepted();
+    const pool = this.pool(member);
+    pool?.accepted();
     const wasFailing = this.isFailing(member);
+    if (wasFailing) pool?.starts('recovered', at);
+    pool?.answered(connection, info, at);
     const tookMs = at - sentAt;
     this.updateHealth(member, health =>
       afterAnswer(health, {tookMs, applied, work}, at),
@@ -246,11 +271,13 @@
 
   /** Records a failure. */
   failed(member: string, now: number): void {
+    this.pool(member)?.failed(now);
     this.updateHealth(member, health => afterFailure(health, now));
   }
 
   /** Records the response to a status probe. */
   recovered(member: string, now: number): void {
+    if (this.isFailing(member)) this.pool(member)?.starts('recovered', now);
     const statusAnswer = {
       tookMs: 0,
       applied: undefined,
--- a/packages/gateway/src/telemetry/gateway_metrics.ts
+++ b/packages/gateway/src/telemetry/gateway_metrics.ts
@@ -40,6 +40,13 @@
     registers: [this.registry],
   });
 
+  private readonly memberLimit = new Gauge({
+    name: 'pistachiorill_gateway_member_concurrency_limit',
+    help: 'Limit on concurrent statements at a member; 0 if there is none.',
+    labelNames: ['group', 'member'],
+    registers: [this.registry],
+  });
+
   private readonly changes = new Counter({
     name: 'pistachiorill_gateway_primary_changes_total',
     help: 'Changes of primary that this VM carried out, by outcome.',
@@ -101,6 +108,11 @@
     this.rollbacks.inc({reason});
   }
 
+  /** Records the limit on concurrent statements at a member, if any. */
+  memberLimited(group: string, member: string, limit: number): void {
+    this.memberLimit.set({group, member}, Number.isFinite(limit) ? limit : 0);
+  }
+
   /** Counts a primary change that this VM carried out. */
   primaryChanged(outcome: string): void {
     this.changes.inc({outcome});
