Serve statements by priority and refuse early under overload

At 2.4 times the capacity the most important requests had the largest losses: the queue in front of a member ignored priorities, a statement waited for up to 600 ms only to be refused or late, and a full member was asked again at once, up to 10 times after "too many connections". Refused callers were all told to return after 50 ms. A refusal as busy counted as a quick answer, which drew further reads to the member.

The queue now serves by the route's priority, one grant in eight to the least urgent one; with a single priority the order is as before. What is expected to wait for longer than it may is refused at once, a full queue gives up its least urgent request, and callers return at a rate that can be served, with jitter. Retries after refusals draw on a budget of their priority, and at the primary come after a delay. Refusals and denied retries are counted by reason and priority.

--- a/packages/core/src/admission/adaptive_concurrency.ts
+++ b/packages/core/src/admission/adaptive_concurrency.ts
@@ -83,14 +83,16 @@
  * member accepts, one statement of each VM at a time is too much already.
  */
 const MIN_LIMIT = 1 / 8;
+/** The growth of a limit below 1 with each answer. */
+const LOW_LIMIT_GROWTH = 1.25;
 const DEFAULT_LATENCY_MS = 10;
 const MAX_PAUSE_MS = 1_000;
 /**
  * A member is slow above this multiple of its baseline. The margin keeps a mix
  * of statements of a few milliseconds and of tens of them from counting as slow.
  */
-const SLOW_MULTIPLE = 4;
-const SLOW_MARGIN_MS = 20;
+const SLOW_MULTIPLE = 3;
+const SLOW_MARGIN_MS = 15;
 /** The limit does not grow above this multiple of the baseline. */
 const HOLD_MULTIPLE = 2;
 const HOLD_MARGIN_MS = 10;
@@ -292,7 +294,7 @@
   now: number,
 ): AdaptiveConcurrency {
   if (state.limit < 1) {
-    const limit = Math.min(1, state.limit * 2);
+    const limit = Math.min(1, state.limit * LOW_LIMIT_GROWTH);
     return {...state, limit, pausedUntil: now + pauseMs(state, limit)};
   }
   if (state.limit >= full) return atFull(state, full, now);
--- a/packages/core/src/admission/deficit_round_robin_policy.ts
+++ b/packages/core/src/admission/deficit_round_robin_policy.ts
@@ -68,6 +68,15 @@
     this.total++;
   }
 
+  /** Removes the newest entry of a workspace. */
+  removeNewest(workspace: string): QueueEntry<T> | undefined {
+    const queue = this.active.get(workspace);
+    const entry = queue?.entries.pop();
+    if (queue?.entries.length === 0) this.active.delete(workspace);
+    if (entry) this.total--;
+    return entry;
+  }
+
   override removeExpired(now: number): ReadonlyArray<QueueEntry<T>> {
     const expired: Array<QueueEntry<T>> = [];
     for (const [workspace, queue] of this.active) {
--- a/packages/core/src/admission/queue_policy.ts
+++ b/packages/core/src/admission/queue_policy.ts
@@ -1,6 +1,8 @@
 /** A statement that waits for a connection. */
 export interface QueueEntry<T> {
   readonly workspace: string;
+  /** The priority of its route; 0, the default, is the most urgent one. */
+  readonly priority?: number;
   /** The time at which the statement stops waiting for a connection. */
   readonly deadline: number;
   readonly item: T;
@@ -21,7 +23,7 @@
   abstract removeExpired(now: number): ReadonlyArray<QueueEntry<T>>;
 
   /** Counts the entries to be served before a new one of the workspace. */
-  abstract entriesAhead(workspace: string): number;
+  abstract entriesAhead(workspace: string, priority?: number): number;
 
   /** The number of waiting statements. */
   abstract get size(): number;
--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -6,8 +6,10 @@
 export * from './admission/adaptive_concurrency.js';
 export * from './admission/expected_wait.js';
 export {FifoPolicy} from './admission/fifo_policy.js';
+export {PriorityPolicy} from './admission/priority_policy.js';
 export {QueuePolicy} from './admission/queue_policy.js';
 export type {EnqueueOutcome, QueueEntry} from './admission/queue_policy.js';
+export * from './admission/return_schedule.js';
 export * from './authority/authority_state.js';
 export * from './authority/confirmation.js';
 export * from './authority/decide_authority.js';
@@ -55,6 +57,7 @@
   Repeatability,
   RetryDecision,
 } from './retry/decide_retry.js';
+export * from './retry/overload_retry.js';
 export * from './retry/retry_budget.js';
 export * from './failover/index.js';
 export * from './watching/index.js';
--- a/packages/core/src/retry/retry_budget.ts
+++ b/packages/core/src/retry/retry_budget.ts
@@ -4,6 +4,9 @@
 /** The number of retries that are allowed before the first request. */
 const INITIAL_RETRIES = 3;
 
+/** The part of a retry that a refusal for overload takes from the budget. */
+const REFUSAL_COST = 0.2;
+
 /** The most retries that the budget can accumulate. */
 const MAX_RETRIES = 20;
 
@@ -27,6 +30,14 @@
   };
 }
 
+/**
+ * Reduces the budget after a refusal for overload. Where over half of the
+ * requests are refused, nothing is left for retries.
+ */
+export function reduceRetries(budget: RetryBudget): RetryBudget {
+  return {available: Math.max(0, budget.available - REFUSAL_COST)};
+}
+
 /** Takes one retry from the budget; returns undefined if none is left. */
 export function withdrawRetry(budget: RetryBudget): RetryBudget | undefined {
   return budget.available >= 1 ? {available: budget.available - 1} : undefined;
--- a/packages/gateway/src/daemon/database_set.ts
+++ b/packages/gateway/src/daemon/database_set.ts
@@ -1,6 +1,7 @@
 import {supersedesLeadership} from '@pistachiorill/core';
 import type {
   PrimaryLeaseDecision,
+  Random,
   VersionedLeadership,
 } from '@pistachiorill/core';
 import type {Clock} from '@pistachiorill/tasks';
@@ -32,6 +33,7 @@
   readonly clock: Clock;
   readonly log: Logger;
   readonly metrics: GatewayMetrics;
+  readonly random: Random;
 }
 
 /** A primary that this VM cannot reach. */
@@ -122,7 +124,7 @@
 
   private open(group: string): void {
     const {settings, links, clock, log, metrics, view, onSuspect} = this.deps;
-    const {requestPositions} = this.deps;
+    const {requestPositions, random} = this.deps;
     const {vm, regions} = settings;
     const task = new DatabaseTask(group, {
       vm: {dataCentre: vm.data_centre, region: vm.region},
@@ -137,6 +139,7 @@
       },
       log,
       metrics,
+      random,
       onFailed: err =>
         log.error(
           {event: 'database.failed', group, err},
--- a/packages/gateway/src/daemon/gateway_daemon.ts
+++ b/packages/gateway/src/daemon/gateway_daemon.ts
@@ -155,6 +155,7 @@
       clock,
       log,
       metrics: this.metrics,
+      random: this.random,
     });
     const transact = (
       transaction: RowTransaction,
@@ -241,6 +242,8 @@
           configuration: () => this.operators?.configuration,
           clock,
           log,
+          metrics: this.metrics,
+          random: this.random,
         }),
         clock,
       ),
--- a/packages/gateway/src/database/__tests__/member_pool.test.ts
+++ b/packages/gateway/src/database/__tests__/member_pool.test.ts
@@ -18,6 +18,7 @@
       pool.add(
         {
           workspace: 'co-op',
+          priority: 1,
           values: new Map(),
           use: 'statement',
           until: Infinity,
--- a/packages/gateway/src/database/__tests__/member_table.test.ts
+++ b/packages/gateway/src/database/__tests__/member_table.test.ts
@@ -37,6 +37,7 @@
     pool?.add(
       {
         workspace: 'co-op',
+        priority: 1,
         values: new Map(),
         use: 'transaction',
         until: 1_000,
--- a/packages/gateway/src/database/__tests__/shared_positions.test.ts
+++ b/packages/gateway/src/database/__tests__/shared_positions.test.ts
@@ -14,6 +14,7 @@
       kind: 'check-out',
       request: {
         workspace: 'co-op',
+        priority: 1,
         values: new Map(),
         use: 'statement',
         requirement: {kind: 'recent', maxAgeMs: 1_500, seen: undefined},
--- a/packages/gateway/src/database/checkout.ts
+++ b/packages/gateway/src/database/checkout.ts
@@ -17,6 +17,8 @@
 /** A request for a connection to a member that meets the requirement. */
 export interface CheckoutRequest {
   readonly workspace: string;
+  /** The priority of the route; 0 is the most urgent one. */
+  readonly priority: number;
   /** The session's values, to prefer a connection that has them set. */
   readonly values: SessionValues;
   readonly use: 'statement' | 'transaction';
@@ -27,6 +29,12 @@
   readonly regions: readonly string[];
   /** The time at which the wait for a connection ends. */
   readonly until: number;
+  /**
+   * The time at which the answer is due. A statement that is expected to be
+   * answered later is refused at once; without it, one that is expected to wait
+   * beyond `until`.
+   */
+  readonly dueAt?: number | undefined;
 }
 
 /** A connection that is checked out for one statement or transaction. */
--- a/packages/gateway/src/database/database_task.ts
+++ b/packages/gateway/src/database/database_task.ts
@@ -11,11 +11,11 @@
 import type {DatabaseDependencies} from './database_tools.js';
 import type {Checkout, CheckoutRefusal, CheckoutRequest} from './checkout.js';
 import {DeferredCheckouts} from './deferred_checkouts.js';
-import {poolRefusal} from './lease_refusals.js';
 import {MemberConnection} from './member_connection.js';
 import {MemberLimitLog} from './member_limit_log.js';
 import {MemberProbes} from './member_probes.js';
 import {MemberTable} from './member_table.js';
+import {OverloadRefusals} from './overload_refusals.js';
 import {placeStatement} from './place_statement.js';
 import type {Placement} from './place_statement.js';
 import {PendingPrimaryStops} from './pending_primary_stops.js';
@@ -37,6 +37,7 @@
   private readonly deferred = new DeferredCheckouts();
   private ticker: NodeJS.Timeout | undefined;
   private readonly probes: MemberProbes;
+  private readonly refusals: OverloadRefusals;
   private readonly sampler: PrimarySampler;
 
   constructor(
@@ -48,6 +49,7 @@
     const open = (listed: ListedMember, workspace: string): MemberConnection =>
       this.openConnection(listed, workspace);
     this.sampler = new PrimarySampler({open, clock});
+    this.refusals = new OverloadRefusals(deps);
     const limitLog = new MemberLimitLog(group, deps);
     this.members = new MemberTable({
       vm,
@@ -237,7 +239,7 @@
     } else if (placed.err.kind === 'primary-changing' && now < request.until) {
       this.deferred.add(message);
     } else {
-      reply.answer(placed);
+      reply.answer(fail(this.refusals.spread(placed.err)));
     }
   }
 
@@ -265,20 +267,26 @@
     reply: CheckoutReply,
     now: number,
   ): void {
-    const {workspace, values, use, until} = request;
-    this.members.pool(placement.member)?.add(
+    const {member} = placement;
+    const {workspace, priority, values, use, until, dueAt} = request;
+    this.members.pool(member)?.add(
       {
         workspace,
+        priority,
         values,
         use,
         until,
+        dueAt,
         grant: connection => reply.answer(ok({...placement, connection})),
-        refuse: reason => {
+        refuse: (reason, load) => {
           // Placed again, as another member or the next primary may run it.
           if (reason === 'pool-drained') {
             this.tell({kind: 'check-out', request, reply});
           } else {
-            reply.answer(fail(poolRefusal(reason)));
+            const at = this.deps.clock();
+            reply.answer(
+              fail(this.refusals.ofPool(reason, member, priority, load, at)),
+            );
           }
         },
       },
--- a/packages/gateway/src/database/database_tools.ts
+++ b/packages/gateway/src/database/database_tools.ts
@@ -1,5 +1,6 @@
 import type {
   PrimaryLeaseDecision,
+  Random,
   VersionedLeadership,
 } from '@pistachiorill/core';
 import type {Clock} from '@pistachiorill/tasks';
@@ -34,6 +35,8 @@
   ) => void;
   readonly log: Logger;
   readonly metrics?: GatewayMetrics;
+  /** Spreads the delays of refusals, which are not spread without it. */
+  readonly random?: Random;
   /** Reports an unexpected exception. */
   readonly onFailed: (err: unknown) => void;
 }
--- a/packages/gateway/src/database/lease_refusals.ts
+++ b/packages/gateway/src/database/lease_refusals.ts
@@ -47,6 +47,13 @@
         'overloaded',
         'too many statements of the workspace wait',
       );
+    case 'displaced':
+      return checkoutRefusal(
+        'overloaded',
+        'a more urgent statement of the workspace took its place',
+      );
+    case 'wait-too-long':
+      return checkoutRefusal('overloaded', 'the expected wait is too long');
     case 'wait-timed-out':
       return checkoutRefusal('overloaded', 'no connection became free in time');
   }
--- a/packages/gateway/src/database/member_health.ts
+++ b/packages/gateway/src/database/member_health.ts
@@ -91,6 +91,17 @@
   };
 }
 
+/** Records a refusal as busy, which says nothing about the latency. */
+export function afterBusy(
+  health: MemberHealth,
+  applied: LogPosition | undefined,
+  avoidMs: number,
+  now: number,
+): MemberHealth {
+  const answer = {tookMs: 0, applied, work: 'setup'} as const;
+  return afterBehind(afterAnswer(health, answer, now), applied, avoidMs, now);
+}
+
 /**
  * Returns whether the member is reachable, given the time of its oldest request
  * without a response.
--- a/packages/gateway/src/database/member_pool.ts
+++ b/packages/gateway/src/database/member_pool.ts
@@ -1,31 +1,21 @@
 import {
-  DeficitRoundRobinPolicy,
   UNLIMITED_CONCURRENCY,
   concurrencyLimit,
-  haveSameValues,
   limitAfterFailure,
   limitAfterStart,
 } from '@pistachiorill/core';
-import type {AdaptiveConcurrency} from '@pistachiorill/core';
+import type {AdaptiveConcurrency, ExpectedLoad} from '@pistachiorill/core';
 import {limitAfterResponse} from './limit_after_response.js';
 import type {MemberConnection, ResponseInfo} from './member_connection.js';
+import {PooledConnections} from './pooled_connections.js';
+import {PoolQueue} from './pool_queue.js';
+import type {AwaitedConnections} from './pool_queue.js';
 import type {
   ConnectionRequest,
   MemberPoolLimits,
-  PoolRefusal,
   PoolWaiter,
 } from './pool_request.js';
 
-interface PooledConnection {
-  readonly connection: MemberConnection;
-  readonly workspace: string;
-  readonly use: 'idle' | 'statement' | 'transaction';
-  /** The time at which the current use began. */
-  readonly since: number;
-}
-
-/** The maximum number of requests that one workspace queues per member. */
-const MAX_QUEUED_PER_WORKSPACE = 64;
 /** Idle connections above the VM's share close after this time. */
 const SURPLUS_IDLE_MS = 15;
 /**
@@ -43,17 +33,13 @@
  * Each connection belongs to one workspace; workspaces are served round-robin.
  */
 export class MemberPool {
-  private readonly connections = new Map<MemberConnection, PooledConnection>();
-  private readonly queue = new DeficitRoundRobinPolicy<PoolWaiter>(
-    MAX_QUEUED_PER_WORKSPACE,
-  );
+  private readonly connections = new PooledConnections();
+  private readonly queue = new PoolQueue();
   private openBlockedUntil = -Infinity;
   private openBackoffMs = OPEN_BACKOFF_MS;
   /** The number of connections that the member currently accepts. */
   private adaptiveLimit = Infinity;
   private limitChangedAt = -Infinity;
-  /** Transactions whose callers have not sent the next statement yet. */
-  private readonly pausedTransactions = new Set<MemberConnection>();
 
   constructor(
     private limits: MemberPoolLimits,
@@ -85,11 +71,12 @@
   /** Limits a member that started, recovered or was promoted. */
   starts(reason: 'started' | 'recovered' | 'promoted', now: number): void {
     this.concurrency = limitAfterStart(this.concurrency, reason, now);
+    this.queue.resetEstimates();
   }
 
   /** Records that a connection sent a request. */
   sent(connection: MemberConnection): void {
-    this.pausedTransactions.delete(connection);
+    this.connections.resume(connection);
   }
 
   /** Records a response. */
@@ -101,13 +88,16 @@
     this.concurrency = limitAfterResponse(
       this.concurrency,
       info,
-      {inFlight: this.running, full: this.limits.statements},
+      {inFlight: this.connections.running, full: this.limits.statements},
       now,
     );
     const item = this.connections.get(connection);
-    if (item?.use === 'transaction' && info.work === 'statement') {
-      this.pausedTransactions.add(connection);
+    if (!item || info.work === 'setup') return;
+    if (item.use === 'transaction') {
+      this.connections.pause(connection);
       this.serve(now);
+    } else if (info.outcome === 'done') {
+      this.queue.served('statement', now - item.since);
     }
   }
 
@@ -119,7 +109,7 @@
 
   /** Checked-out connections and queued requests. */
   get inFlight(): number {
-    return this.count(item => item.use !== 'idle') + this.queue.size;
+    return this.connections.inUse + this.queue.size;
   }
 
   /** The number of queued requests. */
@@ -139,41 +129,43 @@
 
   /** Whether the workspace has an idle connection. */
   hasIdle(workspace: string): boolean {
-    for (const item of this.connections.values()) {
-      if (item.use === 'idle' && item.workspace === workspace) return true;
-    }
-    return false;
+    return this.connections.hasIdle(workspace);
   }
 
   /** Whether a request would be granted without waiting. */
   canGrant(request: ConnectionRequest, now: number): boolean {
-    if (this.queue.size > 0 || !this.hasSlot(request.use, now)) return false;
+    if (this.queue.hasAhead(request)) return false;
+    if (!this.hasSlot(request, now)) return false;
     return (
       this.hasIdle(request.workspace) ||
-      ((this.isBelowConnectionLimit || this.oldestIdle() !== undefined) &&
+      ((this.isBelowConnectionLimit ||
+        this.connections.oldestIdle() !== undefined) &&
         now >= this.openBlockedUntil)
     );
   }
 
-  /** Queues a request, or refuses it if the workspace's queue is full. */
+  /** Queues a request, or refuses it if it would wait for too long. */
   add(waiter: PoolWaiter, now: number): void {
-    const {workspace, until} = waiter;
-    if (
-      this.queue.enqueue({workspace, deadline: until, item: waiter}) === 'full'
-    ) {
-      waiter.refuse('queue-full');
-      return;
-    }
+    this.queue.add(waiter, this.expectedLoad(waiter, now), now);
     this.serve(now);
   }
 
+  /** Returns what a request would wait for. */
+  expectedLoad(request: ConnectionRequest, now: number): ExpectedLoad {
+    if (this.canGrant(request, now)) return {waitMs: 0, intervalMs: 0};
+    const awaited = this.awaitedConnections(request, now);
+    return this.queue.expectedLoad(request, awaited);
+  }
+
   /** Takes a connection back and closes it unless it can be reused. */
   returnConnection(connection: MemberConnection, now: number): void {
     const item = this.connections.get(connection);
-    this.pausedTransactions.delete(connection);
     if (!item) return;
     if (connection.state === 'clean') {
-      this.connections.set(connection, {...item, use: 'idle', since: now});
+      if (item.use === 'transaction') {
+        this.queue.served('transaction', now - item.since);
+      }
+      this.connections.set({...item, use: 'idle', since: now});
     } else {
       this.connections.delete(connection);
       if (connection.state !== 'closed') connection.tell({kind: 'close'});
@@ -200,23 +192,23 @@
 
   /** Closes idle connections, as a dead one shows only when it is used. */
   closeIdle(): void {
-    for (const [connection, item] of this.connections) {
-      if (item.use === 'idle') this.closeConnection(connection);
+    for (const {connection, use} of this.connections.all) {
+      if (use === 'idle') this.closeConnection(connection);
     }
   }
 
   /** Closes all connections and refuses all queued requests. */
   abandon(): void {
-    for (const connection of [...this.connections.keys()]) {
+    for (const {connection} of this.connections.all) {
       this.closeConnection(connection);
     }
-    this.refuseWaiting('pool-drained');
+    this.queue.refuseAll();
   }
 
   /** Closes idle connections and refuses all queued requests. */
   drain(): void {
     this.closeIdle();
-    this.refuseWaiting('pool-drained');
+    this.queue.refuseAll();
   }
 
   /**
@@ -228,11 +220,10 @@
       this.adaptiveLimit++;
       this.limitChangedAt = now;
     }
-    for (const entry of this.queue.removeExpired(now)) {
-      entry.item.refuse('wait-timed-out');
-    }
-    let idle = this.count(item => item.use === 'idle');
-    for (const [connection, item] of this.connections) {
+    this.queue.refuseExpired(item => this.awaitedConnections(item, now), now);
+    let idle = this.connections.size - this.connections.inUse;
+    for (const item of this.connections.all) {
+      const {connection} = item;
       const isUnusable = item.use === 'idle' && connection.state !== 'clean';
       const isSurplus =
         item.use === 'idle' &&
@@ -247,66 +238,79 @@
 
   /** The number of checked-out connections. */
   get inUse(): number {
-    return this.count(item => item.use !== 'idle');
+    return this.connections.inUse;
   }
 
   private closeConnection(connection: MemberConnection): void {
-    this.pausedTransactions.delete(connection);
     this.connections.delete(connection);
     connection.tell({kind: 'close'});
   }
 
-  private refuseWaiting(reason: PoolRefusal): void {
-    for (const entry of this.queue.removeExpired(Infinity)) {
-      entry.item.refuse(reason);
+  /** Returns what a request that cannot be granted now waits for. */
+  private awaitedConnections(
+    request: ConnectionRequest,
+    now: number,
+  ): AwaitedConnections {
+    const {reason, limit, pausedUntil} = this.concurrency;
+    const {statements, inUse} = this.connections;
+    const isLimited = !this.hasSlot(request, now);
+    if (isLimited && reason === 'none') {
+      return {limit: 'statements', inUse: statements, blockedMs: 0};
     }
+    if (isLimited) {
+      return {
+        limit: 'connections',
+        inUse: limit < 1 ? limit : this.statementLimit(now),
+        blockedMs: Math.max(0, pausedUntil - now),
+      };
+    }
+    // Either the next connection is opened, or one is returned.
+    const opens = this.isBelowConnectionLimit || this.connections.oldestIdle();
+    const blockedMs = Math.max(0, this.openBlockedUntil - now);
+    return opens
+      ? {limit: 'connections', inUse: 0, blockedMs}
+      : {limit: 'connections', inUse, blockedMs: 0};
   }
 
   /** Grants connections to queued requests until none is available. */
   private serve(now: number): void {
-    while (this.queue.size > 0) {
+    for (;;) {
       const next = this.queue.dequeue();
       if (!next) return;
-      const waiter = next.item;
-      const connection = this.takeConnection(waiter, now);
-      if (!connection) {
-        this.queue.requeue(next);
-        return;
+      const connection = this.takeConnection(next.item, now);
+      if (connection) {
+        next.item.grant(connection);
+        continue;
       }
-      waiter.grant(connection);
+      this.queue.requeue(next);
+      if (!this.serveMostUrgent(now)) return;
     }
   }
 
+  /** Grants a connection to the most urgent request, if only it may run. */
+  private serveMostUrgent(now: number): boolean {
+    if (now >= this.concurrency.pausedUntil) return false;
+    const next = this.queue.dequeueMostUrgent();
+    const connection = next && this.takeConnection(next.item, now);
+    if (connection) next.item.grant(connection);
+    else if (next) this.queue.requeue(next);
+    return connection !== undefined;
+  }
+
   private takeConnection(
     request: ConnectionRequest,
     now: number,
   ): MemberConnection | undefined {
-    if (!this.hasSlot(request.use, now)) return undefined;
-    const connection = this.takeIdle(request) ?? this.openFor(request, now);
+    if (!this.hasSlot(request, now)) return undefined;
+    const connection =
+      this.connections.findIdle(request) ?? this.openFor(request, now);
     if (connection) {
       const {workspace, use} = request;
-      this.connections.set(connection, {
-        connection,
-        workspace,
-        use,
-        since: now,
-      });
+      this.connections.set({connection, workspace, use, since: now});
     }
     return connection;
   }
 
-  /** Prefers a connection on which the session's values are already set. */
-  private takeIdle(request: ConnectionRequest): MemberConnection | undefined {
-    let found: MemberConnection | undefined;
-    for (const [connection, item] of this.connections) {
-      if (item.use !== 'idle' || item.workspace !== request.workspace) continue;
-      if (connection.state !== 'clean') continue;
-      found = connection;
-      if (haveSameValues(connection.values, request.values)) break;
-    }
-    return found;
-  }
-
   /**
    * Opens a connection. At the connection limit, the one that has been idle
    * for longest is closed first.
@@ -317,7 +321,7 @@
   ): MemberConnection | undefined {
     if (now < this.openBlockedUntil) return undefined;
     if (!this.isBelowConnectionLimit) {
-      const oldest = this.oldestIdle();
+      const oldest = this.connections.oldestIdle();
       if (!oldest) return undefined;
       this.closeConnection(oldest);
     }
@@ -333,32 +337,16 @@
    * In normal operation transactions are limited by the number of connections
    * only. Their statements count for the limit of a member that shows trouble.
    */
-  private hasSlot(use: ConnectionRequest['use'], now: number): boolean {
-    if (this.concurrency.reason !== 'none') {
-      return this.running < this.statementLimit(now);
-    }
-    if (use === 'transaction') return true;
-    const running = this.count(item => item.use === 'statement');
-    return running < this.limits.statements;
-  }
-
-  /** The number of statements that run, also in transactions. */
-  private get running(): number {
-    return this.inUse - this.pausedTransactions.size;
-  }
-
-  private oldestIdle(): MemberConnection | undefined {
-    let oldest: PooledConnection | undefined;
-    for (const item of this.connections.values()) {
-      if (item.use !== 'idle') continue;
-      if (!oldest || item.since < oldest.since) oldest = item;
+  private hasSlot({use, priority}: ConnectionRequest, now: number): boolean {
+    const {running, statements} = this.connections;
+    const {reason, pausedUntil} = this.concurrency;
+    if (reason === 'none') {
+      return use === 'transaction' || statements < this.limits.statements;
     }
-    return oldest?.connection;
-  }
-
-  private count(matches: (item: PooledConnection) => boolean): number {
-    let count = 0;
-    for (const item of this.connections.values()) if (matches(item)) count++;
-    return count;
+    if (running < this.statementLimit(now)) return true;
+    // The pauses are caused by the less urgent statements.
+    return (
+      now < pausedUntil && running < 1 && this.queue.isMostUrgent(priority)
+    );
   }
 }
--- a/packages/gateway/src/database/member_table.ts
+++ b/packages/gateway/src/database/member_table.ts
@@ -16,6 +16,7 @@
   INITIAL_MEMBER_HEALTH,
   afterAnswer,
   afterBehind,
+  afterBusy,
   afterFailure,
   observationOf,
 } from './member_health.js';
@@ -25,6 +26,8 @@
 
 /** A replica that lacks a required position is avoided for this long. */
 const BEHIND_AVOID_MS = 150;
+/** Reads prefer other members for this long after a member was busy. */
+const BUSY_AVOID_MS = 50;
 /** The number of concurrent statements per VM and slot of a member. */
 const STATEMENTS_PER_SLOT = 2;
 /** The share of a member's connections that all VMs together keep idle. */
@@ -239,9 +242,11 @@
     const wasFailing = this.isFailing(member);
     if (wasFailing) pool?.starts('recovered', at);
     pool?.answered(connection, info, at);
-    const tookMs = at - sentAt;
+    const answer = {tookMs: at - sentAt, applied, work};
     this.updateHealth(member, health =>
-      afterAnswer(health, {tookMs, applied, work}, at),
+      info.outcome === 'busy'
+        ? afterBusy(health, applied, BUSY_AVOID_MS, at)
+        : afterAnswer(health, answer, at),
     );
     return wasFailing;
   }
--- a/packages/gateway/src/session/place_filter.ts
+++ b/packages/gateway/src/session/place_filter.ts
@@ -1,5 +1,6 @@
-import {Filter, fail, ok} from '@pistachiorill/core';
+import {Filter, fail, ok, withJitter} from '@pistachiorill/core';
 import type {
+  Random,
   Result,
   RuntimeConfiguration,
   StatementEffect,
@@ -16,24 +17,25 @@
 } from '../database/checkout.js';
 import type {JobFault, JobResult} from '../database/member_connection.js';
 import type {SessionRefusal} from '../ports/caller_link.js';
+import type {GatewayMetrics} from '../telemetry/gateway_metrics.js';
 import type {MemberAnswer} from '../ports/member_link.js';
 import {busyRefusal, concludeFault} from './conclude_fault.js';
+import {OverloadRetries, causeOf, isOverload} from './overload_retries.js';
+import type {FailureCause, RetryPlan} from './overload_retries.js';
+import {hasPriorities} from './route_priorities.js';
 import {refusalAfterWait} from './session_access.js';
 import type {RoutedStatement} from './session_statement.js';
 
 /** The maximum number of members on which one statement is tried. */
 const MAX_ATTEMPTS = 4;
-/**
- * The maximum number of attempts that members reject as their connection limit
- * is reached. These don't count towards `MAX_ATTEMPTS`.
- */
-const MAX_REJECTIONS = 10;
 /**
  * A read without a result after this time is also sent to a second member: a
  * share of the latency target, but at least `HEDGE_MIN_MS`.
  */
 const HEDGE_MIN_MS = 70;
 const HEDGE_TARGET_SHARE = 0.45;
+/** The queue of a member that refuses statements is served within this time. */
+const OVERLOAD_DELAY_MS = 100;
 /** The share of the latency target that a statement may wait to check out. */
 const CHECKOUT_WAIT_SHARE = 0.9;
 /** How long a statement may wait for a new primary. */
@@ -54,6 +56,9 @@
   readonly configuration: () => RuntimeConfiguration | undefined;
   readonly clock: Clock;
   readonly log: Logger;
+  readonly metrics?: GatewayMetrics;
+  /** Spreads retries and the delays of refusals. */
+  readonly random?: Random;
 }
 
 /** An attempt without a result. */
@@ -61,7 +66,7 @@
   readonly conclusion: 'retry' | 'final';
   readonly refusal: SessionRefusal;
   readonly member?: string | undefined;
-  readonly cause?: 'connection-limit' | 'other';
+  readonly cause?: FailureCause;
 }
 
 type AttemptResult = Result<PlacedAnswer, FailedAttempt>;
@@ -77,8 +82,11 @@
 > {
   override readonly name = 'place';
 
+  private readonly retries: OverloadRetries;
+
   constructor(private readonly deps: PlaceDependencies) {
     super();
+    this.retries = new OverloadRetries(deps.random, deps.metrics);
   }
 
   override async run(
@@ -86,16 +94,24 @@
   ): Promise<Result<PlacedAnswer, SessionRefusal>> {
     const avoid: string[] = [];
     let failure: FailedAttempt | undefined;
-    let rejections = 0;
-    for (let attempt = 1; attempt - rejections <= MAX_ATTEMPTS; attempt++) {
+    let refusals = 0;
+    const {priority} = statement.route;
+    const hasOthers = requirementOf(statement).kind === 'recent';
+    const until = statement.deadline - EXECUTION_RESERVE_MS;
+    this.retries.started(priority);
+    for (let attempt = 1; attempt - refusals <= MAX_ATTEMPTS; attempt++) {
       const placed = await this.attempt(statement, avoid);
       if (placed.ok) return placed;
       failure = placed.err;
-      this.logFailure(statement, failure, attempt);
-      if (failure.conclusion === 'final' || failure.member === undefined) break;
-      if (this.deps.clock() >= statement.deadline - EXECUTION_RESERVE_MS) break;
-      if (failure.cause !== 'connection-limit') avoid.push(failure.member);
-      else if (++rejections > MAX_REJECTIONS) break;
+      if (isOverload(failure.cause)) refusals++;
+      const retry = this.retries.plan(
+        {...failure, priority, hasOthers, refusals, until},
+        this.deps.clock(),
+      );
+      this.logFailure(statement, failure, attempt, retry);
+      if (retry.kind === 'give-up' || failure.member === undefined) break;
+      if (retry.delayMs > 0) await sleep(retry.delayMs);
+      if (retry.next === 'other-member') avoid.push(failure.member);
     }
     return fail(
       failure?.refusal ?? {
@@ -178,11 +194,13 @@
       requirement.kind === 'primary' ? PRIMARY_CHANGE_WAIT_MS : 0,
     );
     const until = Math.min(now + waitMs, deadline - EXECUTION_RESERVE_MS);
+    const isUrgentFirst = hasPriorities(this.deps.configuration());
     return ask(reply =>
       database.tell({
         kind: 'check-out',
         request: {
           workspace,
+          priority: route.priority,
           values,
           use: statement.begin === undefined ? 'statement' : 'transaction',
           requirement,
@@ -191,6 +209,7 @@
             requirement.kind === 'primary' && avoid.length <= 1 ? [] : avoid,
           regions,
           until,
+          dueAt: isUrgentFirst ? now + route.targetMs : undefined,
         },
         reply,
       }),
@@ -266,17 +285,22 @@
       'first',
       fault,
     );
-    const cause =
-      fault.error?.kind === 'too-many-connections'
-        ? 'connection-limit'
-        : 'other';
-    return fail({conclusion, refusal, member, cause});
+    const cause = causeOf(fault);
+    const isRefused = refusal.kind === 'busy' && cause !== 'other';
+    const retryAfterMs = withJitter(OVERLOAD_DELAY_MS, this.deps.random);
+    return fail({
+      conclusion,
+      refusal: isRefused ? {...refusal, retryAfterMs} : refusal,
+      member,
+      cause,
+    });
   }
 
   private logFailure(
     statement: RoutedStatement,
     {conclusion, refusal, member}: FailedAttempt,
     attempt: number,
+    retry: RetryPlan,
   ): void {
     this.deps.log.info(
       {
@@ -287,6 +311,8 @@
         attempt,
         conclusion,
         refusal,
+        priority: statement.route.priority,
+        retry: retry.kind === 'retry' ? 'retry' : retry.reason,
         elapsedMs: Math.round(this.deps.clock() - statement.receivedAt),
       },
       'attempt to run a statement failed',
--- a/packages/gateway/src/telemetry/gateway_metrics.ts
+++ b/packages/gateway/src/telemetry/gateway_metrics.ts
@@ -40,6 +40,20 @@
     registers: [this.registry],
   });
 
+  private readonly overloads = new Counter({
+    name: 'pistachiorill_gateway_overload_refusals_total',
+    help: 'Statements refused before a member, by reason and priority.',
+    labelNames: ['reason', 'priority'],
+    registers: [this.registry],
+  });
+
+  private readonly deniedRetries = new Counter({
+    name: 'pistachiorill_gateway_denied_retries_total',
+    help: 'Retries of refused statements that were denied, by reason and priority.',
+    labelNames: ['reason', 'priority'],
+    registers: [this.registry],
+  });
+
   private readonly memberLimit = new Gauge({
     name: 'pistachiorill_gateway_member_concurrency_limit',
     help: 'Limit on concurrent statements at a member; 0 if there is none.',
@@ -108,6 +122,16 @@
     this.rollbacks.inc({reason});
   }
 
+  /** Counts a statement that was refused as its wait was or would be too long. */
+  overloaded(reason: string, priority: number): void {
+    this.overloads.inc({reason, priority});
+  }
+
+  /** Counts a retry of a refused statement that was denied. */
+  retryDenied(reason: string, priority: number): void {
+    this.deniedRetries.inc({reason, priority});
+  }
+
   /** Records the limit on concurrent statements at a member, if any. */
   memberLimited(group: string, member: string, limit: number): void {
     this.memberLimit.set({group, member}, Number.isFinite(limit) ? limit : 0);
--- a/packages/gateway/src/testing/fake_group.ts
+++ b/packages/gateway/src/testing/fake_group.ts
@@ -117,6 +117,7 @@
         kind: 'check-out',
         request: {
           workspace: 'growers',
+          priority: 1,
           values: new Map(),
           use: 'transaction',
           requirement: {kind: 'primary'},
--- a/packages/gateway/src/testing/simulated_load.ts
+++ b/packages/gateway/src/testing/simulated_load.ts
@@ -1,19 +1,20 @@
-import {Random, UNLIMITED_CONCURRENCY} from '@pistachiorill/core';
+import {Random, UNLIMITED_CONCURRENCY, withJitter} from '@pistachiorill/core';
 import type {Checkout, CheckoutRequest} from '../database/checkout.js';
-import type {MemberConnection} from '../database/member_connection.js';
-import {MemberTable} from '../database/member_table.js';
+import type {ResponseInfo} from '../database/member_connection.js';
 import {placeStatement} from '../database/place_statement.js';
-import type {ListedMember} from '../ports/member_directory.js';
 import {listedMember} from './fake_group.js';
+import {SimulatedMember} from './simulated_member.js';
+import type {MemberBehaviour} from './simulated_member.js';
+import {SimulatedTime} from './simulated_time.js';
+import {newVm, viewOf} from './simulated_vm.js';
+import type {SimulatedVm} from './simulated_vm.js';
 
 /** The time between a VM and a member, or a caller, in one direction. */
 const ONE_WAY_MS = 1;
 const MAINTENANCE_MS = 50;
-/** A member queues this many statements for each of its slots. */
-const QUEUE_PER_SLOT = 8;
 const CLIENT_RETRIES = 2;
-const CLIENT_DELAY_MS = 50;
-const MAX_ATTEMPTS = 2;
+/** A refusal within this time of the arrival at the VM is one at once. */
+const AT_ONCE_MS = 10;
 const ATTEMPT_TIMEOUT_MS = 1_000;
 const POSITION = {term: 1, position: 1};
 
@@ -22,161 +23,116 @@
   readonly name: string;
   readonly perSecond: number;
   readonly requirement: 'primary' | 'recent';
+  readonly priority: number;
   readonly serviceMs: number;
   readonly targetMs: number;
   readonly deadlineMs: number;
 }
 
 /** A load on the members of one group, of which `a` is the primary. */
-export interface SimulatedLoad {
+export interface SimulatedLoad extends MemberBehaviour {
   readonly seed: number;
   readonly vms: number;
-  readonly slots: number;
   readonly kinds: readonly RequestKind[];
   readonly durationMs: number;
+  /** A time in which callers send more requests by a factor. */
+  readonly burst?: {
+    readonly from: number;
+    readonly to: number;
+    readonly factor: number;
+  };
   /** The members that are listed from a time on; later ones replace earlier. */
   readonly listings: ReadonlyArray<{
     readonly at: number;
     readonly members: Readonly<Record<string, string>>;
   }>;
-  /** A time in which a member does not respond, after which it is cold. */
-  readonly outage?: {
-    readonly address: string;
-    readonly from: number;
-    readonly to: number;
-  };
-  /** How many times longer a member takes after `executed` statements. */
-  readonly slowness: (address: string, executed: number) => number;
-  readonly limits: 'none' | 'adaptive';
+  /** `before`: no limits and priorities, immediate retries, fixed delays. */
+  readonly decisions: 'before' | 'now';
 }
 
 /** What the callers of one kind got. */
 export interface CallerOutcomes {
   inTime: number;
   late: number;
-  refused: number;
+  refusedAtOnce: number;
+  refusedLate: number;
   /** Statements that a member refused as busy. */
   busy: number;
   /** The 95th percentile of the time to the answers. */
   p95Ms: number;
 }
 
+type OutcomesByKind = Readonly<Record<string, CallerOutcomes>>;
+
+const NO_OUTCOMES: CallerOutcomes = {
+  inTime: 0,
+  late: 0,
+  refusedAtOnce: 0,
+  refusedLate: 0,
+  busy: 0,
+  p95Ms: 0,
+};
+
 interface Request {
   readonly kind: RequestKind;
   readonly vm: number;
   readonly arrivedAt: number;
+  /** The arrival of the caller's present try. */
+  triedAt: number;
   tries: number;
-  attempts: number;
+  refusals: number;
   excluded: readonly string[];
 }
 
-/** A member that queues statements in front of its slots. */
-class SimulatedMember {
-  private readonly waiting: Array<() => void> = [];
-  private executing = 0;
-  private executed = 0;
-
-  constructor(
-    private readonly address: string,
-    private readonly simulation: LoadSimulation,
-  ) {}
-
-  /** Whether the member responds. */
-  get isUp(): boolean {
-    const {outage} = this.simulation.load;
-    if (outage?.address !== this.address) return true;
-    return !(
-      this.simulation.now >= outage.from && this.simulation.now < outage.to
-    );
-  }
-
-  /** Restarts the member without the statements that it held. */
-  reset(): void {
-    this.executing = 0;
-    this.executed = 0;
-    this.waiting.length = 0;
-  }
-
-  /** Executes a statement, or refuses it if the queue is full. */
-  receive(serviceMs: number, done: (outcome: 'done' | 'busy') => void): void {
-    if (!this.isUp) return;
-    const {slots} = this.simulation.load;
-    const run = (): void => this.execute(serviceMs, () => done('done'));
-    if (this.executing < slots) run();
-    else if (this.waiting.length < slots * QUEUE_PER_SLOT) {
-      this.waiting.push(run);
-    } else done('busy');
-  }
-
-  private execute(serviceMs: number, done: () => void): void {
-    this.executing++;
-    const {load} = this.simulation;
-    const tookMs = serviceMs * load.slowness(this.address, this.executed++);
-    this.simulation.after(tookMs, () => {
-      if (!this.isUp) return;
-      this.executing--;
-      done();
-      this.waiting.shift()?.();
-    });
-  }
-}
-
 /** Runs the pools of several VMs against a group in simulated time. */
 class LoadSimulation {
-  now = 0;
-  private readonly events: Array<{at: number; run: () => void}> = [];
+  private readonly time = new SimulatedTime();
   private readonly random: Random;
-  private readonly tables: readonly MemberTable[];
+  private readonly vms: readonly SimulatedVm[];
   private readonly members = new Map<string, SimulatedMember>();
   private readonly tookMs = new Map<string, number[]>();
   private readonly outcomes = new Map<string, CallerOutcomes>();
 
   constructor(readonly load: SimulatedLoad) {
     this.random = new Random(load.seed);
-    this.tables = Array.from({length: load.vms}, () => newTable());
+    this.vms = Array.from({length: load.vms}, () => newVm(this.random));
     for (const {name} of load.kinds) {
       this.tookMs.set(name, []);
-      this.outcomes.set(name, {
-        inTime: 0,
-        late: 0,
-        refused: 0,
-        busy: 0,
-        p95Ms: 0,
-      });
+      this.outcomes.set(name, {...NO_OUTCOMES});
     }
   }
 
-  run(): Readonly<Record<string, CallerOutcomes>> {
+  run(): OutcomesByKind {
     const {kinds, listings, durationMs, vms, outage} = this.load;
     if (outage) {
       const restart = (): void => this.members.get(outage.address)?.reset();
-      this.schedule(outage.to, restart);
+      this.time.schedule(outage.to, restart);
     }
     for (const {at, members} of listings) {
-      this.schedule(at, () => this.list(members));
+      this.time.schedule(at, () => this.list(members));
     }
     for (const kind of kinds) {
       for (let at = 0; at < durationMs;) {
-        at += -Math.log(1 - this.random.fraction()) * (1_000 / kind.perSecond);
+        const perSecond = kind.perSecond * this.factorAt(at);
+        at += -Math.log(1 - this.random.fraction()) * (1_000 / perSecond);
         const vm = this.random.integer(0, vms - 1);
         const req = {
           kind,
           vm,
           arrivedAt: at,
+          triedAt: at,
           tries: 0,
-          attempts: 0,
+          refusals: 0,
           excluded: [],
         };
-        this.schedule(at, () => this.arrive(req));
+        this.time.schedule(at, () => this.startTry(req));
       }
     }
-    for (let at = 0; at < durationMs * 2; at += MAINTENANCE_MS) {
-      this.schedule(at, () => this.tables.forEach(item => this.maintain(item)));
-    }
-    for (let next; (next = this.events.shift());) {
-      this.now = next.at;
-      next.run();
-    }
+    this.vms.forEach((vm, index) => {
+      const offset = (MAINTENANCE_MS * index) / vms;
+      this.time.schedule(offset, () => this.maintain(vm));
+    });
+    this.time.run(durationMs * 2);
     for (const [name, outcomes] of this.outcomes) {
       const sorted = (this.tookMs.get(name) ?? []).sort((a, b) => a - b);
       outcomes.p95Ms = Math.round(
@@ -186,16 +142,20 @@
     return Object.fromEntries(this.outcomes);
   }
 
-  after(delayMs: number, run: () => void): void {
-    this.schedule(this.now + delayMs, run);
+  private factorAt(at: number): number {
+    const {burst} = this.load;
+    return burst && at >= burst.from && at < burst.to ? burst.factor : 1;
   }
 
   /** Maintains the pools and probes the members that failed. */
-  private maintain(table: MemberTable): void {
-    table.maintain(this.now);
-    for (const {member, address} of table.membersToProbe(this.now)) {
-      if (this.members.get(address)?.isUp) table.recovered(member, this.now);
-      else table.failed(member, this.now);
+  private maintain(vm: SimulatedVm): void {
+    const {table} = vm;
+    this.time.after(MAINTENANCE_MS, () => this.maintain(vm));
+    table.maintain(this.time.now);
+    for (const {member, address} of table.membersToProbe(this.time.now)) {
+      if (this.members.get(address)?.isUp) {
+        table.recovered(member, this.time.now);
+      } else table.failed(member, this.time.now);
     }
   }
 
@@ -205,108 +165,166 @@
     );
     for (const {address} of listed) {
       if (!this.members.has(address)) {
-        this.members.set(address, new SimulatedMember(address, this));
+        this.members.set(
+          address,
+          new SimulatedMember(address, this.time, this.load),
+        );
       }
     }
-    for (const table of this.tables) {
-      table.setView(viewOf(listed), this.now);
-      if (this.load.limits === 'adaptive') continue;
+    for (const {table} of this.vms) {
+      table.setView(viewOf(listed), this.time.now);
+      if (this.load.decisions === 'now') continue;
       for (const {member} of listed) {
         Object.defineProperty(table.pool(member), 'concurrency', {
           get: () => UNLIMITED_CONCURRENCY,
           set: () => undefined,
           configurable: true,
         });
+        Object.assign(table.pool(member) ?? {}, {
+          expectedLoad: () => ({waitMs: 0, intervalMs: 0}),
+        });
       }
     }
   }
 
   private arrive(req: Request): void {
-    const table = this.tables[req.vm];
-    if (!table) return;
-    const request = requestOf(req, this.now);
+    const vm = this.vms[req.vm];
+    if (!vm) return;
+    const {table, refusals} = vm;
+    const {priority} = req.kind;
+    const isNow = this.load.decisions === 'now';
+    const hasPriorities = isNow && this.load.kinds.length > 1;
+    const request = {
+      ...requestOf(req, this.time.now),
+      priority: isNow ? priority : 1,
+      dueAt: hasPriorities ? this.time.now + req.kind.targetMs : undefined,
+    };
     const placed = placeStatement(request, {
       members: table,
-      samples: [{askedAt: this.now, end: POSITION}],
+      samples: [{askedAt: this.time.now, end: POSITION}],
       primaryLease: {kind: 'granted', primary: 'a'},
       record: {phase: 'settled', primary: 'a'},
-      now: this.now,
+      now: this.time.now,
     });
     if (!placed.ok) {
-      this.refused(req);
+      const {retryAfterMs} = isNow ? refusals.spread(placed.err) : placed.err;
+      this.refused(req, retryAfterMs);
       return;
     }
     const {member} = placed.value;
     table.pool(member)?.add(
       {
         ...request,
-        grant: connection =>
-          this.send(req, table, {...placed.value, connection}),
-        refuse: () => this.refused(req),
+        grant: connection => this.send(req, vm, {...placed.value, connection}),
+        refuse: (reason, load) => {
+          if (reason === 'pool-drained') {
+            this.arrive(req);
+            return;
+          }
+          const {now} = this.time;
+          const args = [reason, member, priority, load, now] as const;
+          const {retryAfterMs} = refusals.ofPool(...args);
+          this.refused(req, isNow ? retryAfterMs : 50);
+        },
       },
-      this.now,
+      this.time.now,
     );
   }
 
-  private send(req: Request, table: MemberTable, checkout: Checkout): void {
+  private send(req: Request, vm: SimulatedVm, checkout: Checkout): void {
+    const {table} = vm;
     const {member, connection} = checkout;
-    const sentAt = this.now;
+    const sentAt = this.time.now;
     table.sent(member, connection, sentAt);
     const address = table.listed(member)?.address ?? '';
     const serviceMs = req.kind.serviceMs * (0.5 + this.random.fraction());
     let phase: 'pending' | 'over' = 'pending';
-    this.after(ATTEMPT_TIMEOUT_MS, () => {
+    this.time.after(ATTEMPT_TIMEOUT_MS, () => {
       if (phase === 'over') return;
       phase = 'over';
       const fault = {kind: 'silent', afterMs: ATTEMPT_TIMEOUT_MS} as const;
       Object.assign(connection, {state: 'closed'});
-      table.recordFault(member, connection, fault, this.now);
-      table.pool(member)?.returnConnection(connection, this.now);
+      table.recordFault(member, connection, fault, this.time.now);
+      table.pool(member)?.returnConnection(connection, this.time.now);
       req.excluded = [...req.excluded, member];
       this.arrive(req);
     });
     const answered = (outcome: 'done' | 'busy'): void => {
       if (phase === 'over') return;
       phase = 'over';
-      const info = {sentAt, applied: POSITION, work: 'statement'} as const;
-      table.answered(member, connection, {...info, outcome}, this.now);
-      table.pool(member)?.returnConnection(connection, this.now);
+      const info: ResponseInfo = {
+        sentAt,
+        applied: POSITION,
+        work: 'statement',
+        // A refusal was taken for any other answer.
+        outcome: this.load.decisions === 'now' ? outcome : 'done',
+      };
+      table.answered(member, connection, info, this.time.now);
+      table.pool(member)?.returnConnection(connection, this.time.now);
       if (outcome === 'done') this.served(req);
-      else this.busy(req);
+      else this.busy(req, vm, member);
     };
-    this.after(ONE_WAY_MS, () =>
+    this.time.after(ONE_WAY_MS, () =>
       this.members
         .get(address)
         ?.receive(serviceMs, outcome =>
-          this.after(ONE_WAY_MS, () => answered(outcome)),
+          this.time.after(ONE_WAY_MS, () => answered(outcome)),
         ),
     );
   }
 
   private served({kind, arrivedAt}: Request): void {
-    const tookMs = this.now + ONE_WAY_MS - arrivedAt;
+    const tookMs = this.time.now + ONE_WAY_MS - arrivedAt;
     this.tookMs.get(kind.name)?.push(tookMs);
     const isLate = tookMs > kind.targetMs;
     this.count(kind, isLate ? 'late' : 'inTime');
   }
 
-  private busy(req: Request): void {
+  /** Tries a statement again that a member refused, or refuses it. */
+  private busy(req: Request, vm: SimulatedVm, member: string): void {
     this.count(req.kind, 'busy');
-    if (++req.attempts < MAX_ATTEMPTS) this.arrive(req);
-    else this.refused(req);
+    const {priority, requirement} = req.kind;
+    const hasOthers = requirement === 'recent';
+    const refusals = ++req.refusals;
+    if (this.load.decisions === 'before') {
+      req.excluded = hasOthers ? [...req.excluded, member] : [];
+      if (refusals < (hasOthers ? 4 : 2)) this.arrive(req);
+      else this.refused(req, 50);
+      return;
+    }
+    const until = req.triedAt + req.kind.deadlineMs - 100;
+    const failed = {conclusion: 'retry', cause: 'busy'} as const;
+    const plan = vm.retries.plan(
+      {...failed, priority, hasOthers, refusals, until},
+      this.time.now,
+    );
+    if (plan.kind === 'give-up') {
+      this.refused(req, withJitter(100, this.random));
+      return;
+    }
+    if (plan.next === 'other-member') req.excluded = [...req.excluded, member];
+    this.time.after(plan.delayMs, () => this.arrive(req));
   }
 
   /** The caller repeats a refused request after the delay that it was told. */
-  private refused(req: Request): void {
-    const at = this.now + CLIENT_DELAY_MS;
+  private refused(req: Request, retryAfterMs: number): void {
+    const {now} = this.time;
+    const at = now + retryAfterMs + ONE_WAY_MS * 2;
     const isOver = at - req.arrivedAt > req.kind.deadlineMs;
     if (req.tries++ >= CLIENT_RETRIES || isOver) {
-      this.count(req.kind, 'refused');
+      const isAtOnce = now - req.triedAt <= AT_ONCE_MS;
+      this.count(req.kind, isAtOnce ? 'refusedAtOnce' : 'refusedLate');
       return;
     }
-    req.attempts = 0;
+    this.time.schedule(at, () => this.startTry(req));
+  }
+
+  private startTry(req: Request): void {
+    req.triedAt = this.time.now;
+    req.refusals = 0;
     req.excluded = [];
-    this.schedule(at, () => this.arrive(req));
+    this.vms[req.vm]?.retries.started(req.kind.priority);
+    this.arrive(req);
   }
 
   private count(
@@ -316,63 +334,29 @@
     const outcomes = this.outcomes.get(name);
     if (outcomes) outcomes[outcome]++;
   }
-
-  /** Keeps the events in order of time; equal times in order of scheduling. */
-  private schedule(at: number, run: () => void): void {
-    let low = 0;
-    let high = this.events.length;
-    while (low < high) {
-      const middle = (low + high) >> 1;
-      if ((this.events[middle]?.at ?? 0) <= at) low = middle + 1;
-      else high = middle;
-    }
-    this.events.splice(low, 0, {at, run});
-  }
 }
 
 /** Returns what the callers of each kind get under a load. */
-export function simulateLoad(
-  load: SimulatedLoad,
-): Readonly<Record<string, CallerOutcomes>> {
+export function simulateLoad(load: SimulatedLoad): OutcomesByKind {
   return new LoadSimulation(load).run();
 }
 
-function requestOf({kind, excluded}: Request, now: number): CheckoutRequest {
+function requestOf(
+  {kind, excluded}: Request,
+  now: number,
+): Omit<CheckoutRequest, 'priority'> {
+  const {requirement, targetMs} = kind;
+  const waitMs = targetMs * 0.9;
   return {
     workspace: 'co-op',
     values: new Map(),
     use: 'statement',
     requirement:
-      kind.requirement === 'primary'
+      requirement === 'primary'
         ? {kind: 'primary'}
         : {kind: 'recent', maxAgeMs: 1_500, seen: undefined},
     excluded,
     regions: [],
-    until: now + kind.targetMs * 0.9,
-  };
-}
-
-function newTable(): MemberTable {
-  return new MemberTable({
-    vm: {dataCentre: 'macon', region: 'ga'},
-    regionOf: () => 'ga',
-    open: () => {
-      const connection = {
-        state: 'clean',
-        values: new Map(),
-        tell: () => undefined,
-      };
-      return connection as unknown as MemberConnection;
-    },
-  });
-}
-
-function viewOf(members: readonly ListedMember[]) {
-  const settings = {
-    name: 'wash',
-    connectionLimit: 50,
-    synchronousReplicas: 0,
-    warmupPerSecond: 0,
+    until: now + (requirement === 'primary' ? Math.max(600, waitMs) : waitMs),
   };
-  return {settings, members, dataCentresOut: new Set<string>(), vmCount: 1};
 }
