Drop the limit metric of members that left

The gauge of a member that left while it was limited kept its last value, and its return was not logged as a new limit. The table now reports that the member left.

--- a/packages/gateway/src/database/database_task.ts
+++ b/packages/gateway/src/database/database_task.ts
@@ -1,7 +1,6 @@
-import {fail, ok, supersedesLeadership} from '@pistachiorill/core';
+import {fail, supersedesLeadership} from '@pistachiorill/core';
 import type {
   PrimaryObservation,
-  Result,
   VersionedLeadership,
 } from '@pistachiorill/core';
 import {Task} from '@pistachiorill/tasks';
@@ -9,15 +8,15 @@
 import type {ListedMember} from '../ports/member_directory.js';
 import type {CheckoutValidity, DatabaseMessage} from './database_message.js';
 import type {DatabaseDependencies} from './database_tools.js';
-import type {Checkout, CheckoutRefusal, CheckoutRequest} from './checkout.js';
+import type {Checkout} from './checkout.js';
 import {DeferredCheckouts} from './deferred_checkouts.js';
+import {enqueueCheckout} from './enqueue_checkout.js';
 import {MemberConnection} from './member_connection.js';
 import {MemberLimitLog} from './member_limit_log.js';
 import {MemberProbes} from './member_probes.js';
 import {MemberTable} from './member_table.js';
 import {OverloadRefusals} from './overload_refusals.js';
 import {placeStatement} from './place_statement.js';
-import type {Placement} from './place_statement.js';
 import {PendingPrimaryStops} from './pending_primary_stops.js';
 import {primaryToStop, promotedMember} from './primary_to_stop.js';
 import {PrimarySampler} from './primary_sampler.js';
@@ -26,7 +25,6 @@
 const MAINTENANCE_INTERVAL_MS = 50;
 
 type CheckoutMessage = Extract<DatabaseMessage, {kind: 'check-out'}>;
-type CheckoutReply = Reply<Result<Checkout, CheckoutRefusal>>;
 
 /** Owns this VM's members, connections and leadership record of one group. */
 export class DatabaseTask extends Task<DatabaseMessage> {
@@ -235,7 +233,14 @@
       now,
     });
     if (placed.ok) {
-      this.enqueue(placed.value, request, reply, now);
+      enqueueCheckout(placed.value, request, {
+        pool: this.members.pool(placed.value.member),
+        refusals: this.refusals,
+        reply,
+        // Placed again, as another member or the next primary may run it.
+        placeAgain: () => this.tell({kind: 'check-out', request, reply}),
+        clock: this.deps.clock,
+      });
     } else if (placed.err.kind === 'primary-changing' && now < request.until) {
       this.deferred.add(message);
     } else {
@@ -261,39 +266,6 @@
     return lease.kind === 'granted' && lease.primary === member;
   }
 
-  private enqueue(
-    placement: Placement,
-    request: CheckoutRequest,
-    reply: CheckoutReply,
-    now: number,
-  ): void {
-    const {member} = placement;
-    const {workspace, priority, values, use, until, dueAt} = request;
-    this.members.pool(member)?.add(
-      {
-        workspace,
-        priority,
-        values,
-        use,
-        until,
-        dueAt,
-        grant: connection => reply.answer(ok({...placement, connection})),
-        refuse: (reason, load) => {
-          // Placed again, as another member or the next primary may run it.
-          if (reason === 'pool-drained') {
-            this.tell({kind: 'check-out', request, reply});
-          } else {
-            const at = this.deps.clock();
-            reply.answer(
-              fail(this.refusals.ofPool(reason, member, priority, load, at)),
-            );
-          }
-        },
-      },
-      now,
-    );
-  }
-
   private answered(
     message: Extract<DatabaseMessage, {kind: 'answered'}>,
   ): void {
--- a/packages/gateway/src/database/member_table.ts
+++ b/packages/gateway/src/database/member_table.ts
@@ -1,5 +1,4 @@
 import type {
-  AdaptiveConcurrency,
   LogPosition,
   MemberLoad,
   MemberRole,
@@ -21,6 +20,7 @@
   observationOf,
 } from './member_health.js';
 import type {MemberHealth} from './member_health.js';
+import type {ConcurrencyObserver} from './member_limit_log.js';
 import {MemberPool} from './member_pool.js';
 import type {MemberPoolLimits} from './pool_request.js';
 
@@ -41,8 +41,8 @@
   readonly regionOf: (dataCentre: string) => string;
   /** Creates a connection to a member for a workspace. */
   readonly open: (listed: ListedMember, workspace: string) => MemberConnection;
-  /** Called when the limit on a member's concurrent statements changes. */
-  readonly onConcurrency?: (member: string, state: AdaptiveConcurrency) => void;
+  /** Called when a member's limit on concurrent statements changes. */
+  readonly onConcurrency?: ConcurrencyObserver;
 }
 
 interface MemberEntry {
@@ -77,6 +77,7 @@
       entry.pool.drain();
       entry.state = 'gone';
       this.formerLimits.record(member, entry.pool.concurrency);
+      this.deps.onConcurrency?.(member, undefined);
       if (current || entry.pool.size === 0) this.entries.delete(member);
     }
     for (const item of view.members) this.updateEntry(item, view, now);
--- a/packages/gateway/src/telemetry/gateway_metrics.ts
+++ b/packages/gateway/src/telemetry/gateway_metrics.ts
@@ -137,6 +137,11 @@
     this.memberLimit.set({group, member}, Number.isFinite(limit) ? limit : 0);
   }
 
+  /** Drops the limit of a member that left. */
+  memberLeft(group: string, member: string): void {
+    this.memberLimit.remove({group, member});
+  }
+
   /** Counts a primary change that this VM carried out. */
   primaryChanged(outcome: string): void {
     this.changes.inc({outcome});
