--- a/packages/gateway/src/daemon/database_set.ts
+++ b/packages/gateway/src/daemon/database_set.ts
@@ -1,6 +1,7 @@
 import {supersedesLeadership} from '@pistachiorill/core';
 import type {
   PrimaryLeaseDecision,
+  Random,
   VersionedLeadership,
 } from '@pistachiorill/core';
 import type {Clock} from '@pistachiorill/tasks';
@@ -12,6 +13,7 @@
 import type {OperatorState} from '../ports/configuration_source.js';
 import type {ListedMember} from '../ports/member_directory.js';
 import type {MemberLinkFactory} from '../ports/member_link.js';
+import type {GatewayMetrics} from '../telemetry/gateway_metrics.js';
 import type {GatewaySettings} from './gateway_settings.js';
 
 /**
@@ -33,6 +35,8 @@
   readonly onStatement: StatementCounter | undefined;
   readonly clock: Clock;
   readonly log: Logger;
+  readonly metrics: GatewayMetrics;
+  readonly random: Random;
 }
 
 /** A primary that this VM cannot reach. */
@@ -122,9 +126,8 @@
   }
 
   private open(group: string): void {
-    const {settings, links, clock, log, view, onSuspect, requestPositions} =
-      this.deps;
-    const {onStatement} = this.deps;
+    const {settings, links, clock, log, metrics, view, onSuspect} = this.deps;
+    const {requestPositions, random, onStatement} = this.deps;
     const {vm, regions} = settings;
     const task = new DatabaseTask(group, {
       vm: {dataCentre: vm.data_centre, region: vm.region},
@@ -139,6 +142,8 @@
       },
       onStatement,
       log,
+      metrics,
+      random,
       onFailed: err =>
         log.error(
           {event: 'database.failed', group, err},
--- a/packages/gateway/src/daemon/gateway_daemon.ts
+++ b/packages/gateway/src/daemon/gateway_daemon.ts
@@ -176,6 +176,8 @@
       onStatement: this.usage?.count,
       clock,
       log,
+      metrics: this.metrics,
+      random: this.random,
     });
     this.leadership = new LeadershipTask({
       vm,
@@ -259,6 +261,8 @@
           configuration: () => this.operators?.configuration,
           clock,
           log,
+          metrics: this.metrics,
+          random: this.random,
         }),
         clock,
       ),
--- a/packages/gateway/src/database/database_task.ts
+++ b/packages/gateway/src/database/database_task.ts
@@ -1,34 +1,30 @@
-import {fail, ok, supersedesLeadership} from '@pistachiorill/core';
+import {fail, supersedesLeadership} from '@pistachiorill/core';
 import type {
   PrimaryObservation,
-  Result,
   VersionedLeadership,
 } from '@pistachiorill/core';
 import {Task} from '@pistachiorill/tasks';
 import type {Reply} from '@pistachiorill/tasks';
 import type {ListedMember} from '../ports/member_directory.js';
-import type {
-  CheckoutValidity,
-  DatabaseMessage,
-  StopMode,
-} from './database_message.js';
+import type {CheckoutValidity, DatabaseMessage} from './database_message.js';
 import type {DatabaseDependencies} from './database_tools.js';
-import type {Checkout, CheckoutRefusal, CheckoutRequest} from './checkout.js';
+import type {Checkout} from './checkout.js';
 import {DeferredCheckouts} from './deferred_checkouts.js';
-import {poolRefusal} from './lease_refusals.js';
+import {enqueueCheckout} from './enqueue_checkout.js';
 import {MemberConnection} from './member_connection.js';
+import {MemberLimitLog} from './member_limit_log.js';
 import {MemberProbes} from './member_probes.js';
 import {MemberTable} from './member_table.js';
+import {OverloadRefusals} from './overload_refusals.js';
 import {placeStatement} from './place_statement.js';
-import type {Placement} from './place_statement.js';
 import {PendingPrimaryStops} from './pending_primary_stops.js';
+import {primaryToStop, promotedMember} from './primary_to_stop.js';
 import {PrimarySampler} from './primary_sampler.js';
 import {RecentPositions} from './recent_positions.js';
 
 const MAINTENANCE_INTERVAL_MS = 50;
 
 type CheckoutMessage = Extract<DatabaseMessage, {kind: 'check-out'}>;
-type CheckoutReply = Reply<Result<Checkout, CheckoutRefusal>>;
 
 /** Owns this VM's members, connections and leadership record of one group. */
 export class DatabaseTask extends Task<DatabaseMessage> {
@@ -39,6 +35,7 @@
   private readonly deferred = new DeferredCheckouts();
   private ticker: NodeJS.Timeout | undefined;
   private readonly probes: MemberProbes;
+  private readonly refusals: OverloadRefusals;
   private readonly sampler: PrimarySampler;
 
   constructor(
@@ -50,7 +47,14 @@
     const open = (listed: ListedMember, workspace: string): MemberConnection =>
       this.openConnection(listed, workspace);
     this.sampler = new PrimarySampler({open, clock});
-    this.members = new MemberTable({vm, regionOf, open});
+    this.refusals = new OverloadRefusals(deps);
+    const limitLog = new MemberLimitLog(group, deps);
+    this.members = new MemberTable({
+      vm,
+      regionOf,
+      open,
+      onConcurrency: (member, state) => limitLog.changed(member, state),
+    });
     this.probes = new MemberProbes(group, deps.links, this.members);
   }
 
@@ -186,21 +190,14 @@
       {event: 'leadership.learned', group: this.group, version, record},
       'leadership record of the group changed',
     );
-    const former = before?.phase === 'settled' ? before.primary : undefined;
-    if (record.phase === 'moving') {
-      const mode = record.reason === 'leaving' ? 'finish' : 'abandon';
-      this.stopUsing(record.from, mode);
-    } else if (former !== undefined && former !== record.primary) {
-      this.stopUsing(former, 'abandon');
-    }
-    this.retryDeferred(now);
-  }
-
-  /** Stops using a former primary; its statements finish or are aborted. */
-  private stopUsing(member: string, mode: StopMode): void {
-    const pool = this.members.pool(member);
-    if (mode === 'abandon') pool?.abandon();
+    const stop = primaryToStop(before, record);
+    // Statements of the former primary finish or are aborted.
+    const pool = stop && this.members.pool(stop.member);
+    if (stop?.mode === 'abandon') pool?.abandon();
     else pool?.drain();
+    const promoted = promotedMember(before, record);
+    if (promoted !== undefined) this.members.promoted(promoted, now);
+    this.retryDeferred(now);
   }
 
   private stopPrimary(
@@ -237,11 +234,18 @@
       now,
     });
     if (placed.ok) {
-      this.enqueue(placed.value, request, reply, now);
+      enqueueCheckout(placed.value, request, {
+        pool: this.members.pool(placed.value.member),
+        refusals: this.refusals,
+        reply,
+        // Placed again, as another member or the next primary may run it.
+        placeAgain: () => this.tell({kind: 'check-out', request, reply}),
+        clock: this.deps.clock,
+      });
     } else if (placed.err.kind === 'primary-changing' && now < request.until) {
       this.deferred.add(message);
     } else {
-      reply.answer(placed);
+      reply.answer(fail(this.refusals.spread(placed.err)));
     }
   }
 
@@ -263,33 +267,6 @@
     return lease.kind === 'granted' && lease.primary === member;
   }
 
-  private enqueue(
-    placement: Placement,
-    request: CheckoutRequest,
-    reply: CheckoutReply,
-    now: number,
-  ): void {
-    const {workspace, values, use, until} = request;
-    this.members.pool(placement.member)?.add(
-      {
-        workspace,
-        values,
-        use,
-        until,
-        grant: connection => reply.answer(ok({...placement, connection})),
-        refuse: reason => {
-          // Placed again, as another member or the next primary may run it.
-          if (reason === 'pool-drained') {
-            this.tell({kind: 'check-out', request, reply});
-          } else {
-            reply.answer(fail(poolRefusal(reason)));
-          }
-        },
-      },
-      now,
-    );
-  }
-
   private answered(
     message: Extract<DatabaseMessage, {kind: 'answered'}>,
   ): void {
--- a/packages/gateway/src/database/database_tools.ts
+++ b/packages/gateway/src/database/database_tools.ts
@@ -1,10 +1,12 @@
 import type {
   PrimaryLeaseDecision,
+  Random,
   VersionedLeadership,
 } from '@pistachiorill/core';
 import type {Clock} from '@pistachiorill/tasks';
 import type {Logger} from '@pistachiorill/telemetry';
 import type {MemberLinkFactory} from '../ports/member_link.js';
+import type {GatewayMetrics} from '../telemetry/gateway_metrics.js';
 
 /** Counts the statements that members begin to run. */
 export type StatementCounter = (
@@ -45,6 +47,9 @@
    */
   readonly onStatement?: StatementCounter | undefined;
   readonly log: Logger;
+  readonly metrics?: GatewayMetrics;
+  /** Spreads the delays of refusals, which are not spread without it. */
+  readonly random?: Random;
   /** Reports an unexpected exception. */
   readonly onFailed: (err: unknown) => void;
 }
--- a/packages/gateway/src/database/lease_refusals.ts
+++ b/packages/gateway/src/database/lease_refusals.ts
@@ -1,6 +1,6 @@
 import type {PrimaryLeaseDecision} from '@pistachiorill/core';
 import type {CheckoutRefusal} from './checkout.js';
-import type {PoolRefusal} from './member_pool.js';
+import type {PoolRefusal} from './pool_request.js';
 
 /** How soon a caller may retry a refused statement. */
 const DEFAULT_RETRY_AFTER_MS = 50;
@@ -47,6 +47,13 @@
         'overloaded',
         'too many statements of the workspace wait',
       );
+    case 'displaced':
+      return checkoutRefusal(
+        'overloaded',
+        'a more urgent statement of the workspace took its place',
+      );
+    case 'wait-too-long':
+      return checkoutRefusal('overloaded', 'the expected wait is too long');
     case 'wait-timed-out':
       return checkoutRefusal('overloaded', 'no connection became free in time');
   }
--- a/packages/gateway/src/database/member_connection.ts
+++ b/packages/gateway/src/database/member_connection.ts
@@ -97,6 +97,7 @@
   readonly applied: LogPosition | undefined;
   /** Whether the request was a caller's statement or a setup command. */
   readonly work: 'statement' | 'setup';
+  readonly outcome: 'done' | MemberErrorKind;
 }
 
 /**
@@ -207,6 +208,7 @@
         sentAt: this.clock(),
         applied: undefined,
         work: 'setup',
+        outcome: 'done',
       });
       if (this.state === 'closed') return fail(CONNECTION_CLOSED);
       this.recordedState = 'clean';
@@ -257,12 +259,17 @@
     this.events.onSent();
     const result = await this.link.run(request, Math.max(1, timeoutMs));
     if (result.ok) {
-      const {applied} = result.value;
+      const {applied, outcome} = result.value;
       this.shortestRoundTripMs = Math.min(
         this.shortestRoundTripMs,
         this.clock() - sentAt,
       );
-      this.events.onAnswered({sentAt, applied, work});
+      this.events.onAnswered({
+        sentAt,
+        applied,
+        work,
+        outcome: outcome.kind === 'done' ? 'done' : outcome.error.kind,
+      });
     } else {
       this.close();
       this.events.onFault(result.err);
