--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -58,6 +58,7 @@
 export * from './failover/index.js';
 export * from './watching/index.js';
 export * from './restore/index.js';
+export * from './owners/index.js';
 export * from './connections/forward_targets.js';
 export * from './connections/group_owners.js';
 export * from './connections/may_open_connections.js';
--- /dev/null
+++ b/packages/core/src/owners/index.ts
@@ -0,0 +1,4 @@
+export * from './forward_failure.js';
+export * from './owner_health.js';
+export * from './owner_targets.js';
+export * from './select_owners.js';
--- /dev/null
+++ b/packages/core/src/owners/owner_health.ts
@@ -0,0 +1,124 @@
+import type {OwnerAvailability} from './owner_targets.js';
+
+/** An owner that answers nothing for this long gets no new statements. */
+const SILENCE_MS = 400;
+/** For how long an owner is avoided after the first failure in a row. */
+const BACKOFF_MS = 500;
+const MAX_BACKOFF_MS = 3_000;
+/** For how long an owner is avoided that has no recent view of the fleet. */
+const NOT_READY_AVOID_MS = 500;
+/** The number of calls to one owner that may be without an answer. */
+const MAX_OUTSTANDING = 64;
+
+/** Why an owner gets no new statements for some time. */
+export type OwnerAvoidReason =
+  | 'unreachable'
+  /** It answered nothing although it had calls to answer. */
+  | 'silent'
+  | 'stopping'
+  /** It lacks the group or a recent view of the fleet. */
+  | 'not-ready';
+
+/** What a VM has observed of one owner. */
+export interface OwnerHealth {
+  /** The number of calls without an answer. */
+  readonly outstanding: number;
+  /** When the first call since the last answer was sent. */
+  readonly silentSince: number | undefined;
+  /** When the last answer arrived. */
+  readonly answeredAt: number;
+  readonly avoid:
+    {readonly until: number; readonly reason: OwnerAvoidReason} | undefined;
+  /** Failures since the last answer. */
+  readonly failures: number;
+}
+
+/** The health of an owner that was not called yet. */
+export const INITIAL_OWNER_HEALTH: OwnerHealth = {
+  outstanding: 0,
+  silentSince: undefined,
+  answeredAt: -Infinity,
+  avoid: undefined,
+  failures: 0,
+};
+
+/** A call was sent. */
+export function afterCall(health: OwnerHealth, now: number): OwnerHealth {
+  return {
+    ...health,
+    outstanding: health.outstanding + 1,
+    silentSince: health.silentSince ?? now,
+  };
+}
+
+/** A call was answered. An owner that stops still answers running calls. */
+export function afterOwnerAnswer(
+  health: OwnerHealth,
+  now: number,
+): OwnerHealth {
+  const {avoid} = health;
+  const isKept = avoid?.reason === 'stopping' || avoid?.reason === 'not-ready';
+  return {
+    outstanding: health.outstanding - 1,
+    silentSince: undefined,
+    answeredAt: now,
+    avoid: isKept ? avoid : undefined,
+    failures: 0,
+  };
+}
+
+/** The owner refused a call as it takes no new statements. */
+export function afterOwnerRefusal(
+  health: OwnerHealth,
+  reason: 'stopping' | 'not-ready',
+  now: number,
+): OwnerHealth {
+  const ms = reason === 'stopping' ? MAX_BACKOFF_MS : NOT_READY_AVOID_MS;
+  const answered = afterOwnerAnswer(health, now);
+  return {...answered, avoid: {until: now + ms, reason}};
+}
+
+/**
+ * A call that was made at `sentAt` ended without an answer. The owner is avoided
+ * unless it answered another call since.
+ */
+export function afterOwnerFailure(
+  health: OwnerHealth,
+  reason: 'unreachable' | 'silent',
+  sentAt: number,
+  now: number,
+): OwnerHealth {
+  const ended = {...health, outstanding: health.outstanding - 1};
+  return health.answeredAt >= sentAt ? ended : avoided(ended, reason, now);
+}
+
+/** Avoids an owner that has answered nothing for too long. */
+export function checkSilence(health: OwnerHealth, now: number): OwnerHealth {
+  const {silentSince} = health;
+  const isSilent = silentSince !== undefined && now - silentSince > SILENCE_MS;
+  return isSilent ? avoided(health, 'silent', now) : health;
+}
+
+/** Whether the owner may get a new statement. */
+export function availabilityOf(
+  {avoid, outstanding}: OwnerHealth,
+  now: number,
+): OwnerAvailability {
+  if (avoid && now < avoid.until) return 'avoided';
+  return outstanding < MAX_OUTSTANDING ? 'available' : 'full';
+}
+
+function avoided(
+  health: OwnerHealth,
+  reason: OwnerAvoidReason,
+  now: number,
+): OwnerHealth {
+  // Calls that fail while the owner is avoided are no further evidence.
+  if (health.avoid && now < health.avoid.until) {
+    return {...health, silentSince: undefined};
+  }
+  const failures = health.failures + 1;
+  const ms = Math.min(MAX_BACKOFF_MS, BACKOFF_MS * 2 ** (failures - 1));
+  const avoid = {until: now + ms, reason};
+  return {...health, silentSince: undefined, avoid, failures};
+}
--- /dev/null
+++ b/packages/core/src/owners/owner_targets.ts
@@ -0,0 +1,84 @@
+import {rendezvousOrder} from '../common/rendezvous.js';
+import type {OwnersByDataCentre} from './select_owners.js';
+
+/** Where a VM runs a statement: at an owner, or on its own connections. */
+export type OwnerTarget =
+  {readonly kind: 'owner'; readonly vm: string} | {readonly kind: 'direct'};
+
+/** A statement for which a data centre and an owner are chosen. */
+export interface OwnerQuery {
+  readonly workspace: string;
+  /** Regions whose members may run the statement; empty for all regions. */
+  readonly regions: readonly string[];
+  /** Whether only the primary may run it. */
+  readonly need: 'primary' | 'recent';
+}
+
+/** What a VM knows of a group and of the owners of its connections. */
+export interface OwnerPlaces {
+  /** The data centre of the VM that decides. */
+  readonly dataCentre: string;
+  readonly regionOf: (dataCentre: string) => string;
+  readonly owners: OwnersByDataCentre;
+  /** The data centre of the primary, if it is known. */
+  readonly primaryDataCentre: string | undefined;
+  /** The data centres of the members that receive work. */
+  readonly memberDataCentres: readonly string[];
+}
+
+/** Whether a VM may send an owner a new statement now. */
+export type OwnerAvailability = 'available' | 'avoided' | 'full';
+
+const DIRECT: OwnerTarget = {kind: 'direct'};
+
+/**
+ * Returns where to run a statement, in order; the last one is always `direct`.
+ * The workspace's hash decides among the owners of the data centre, so that the
+ * connections of a workspace are reused.
+ */
+export function ownerTargets(
+  query: OwnerQuery,
+  places: OwnerPlaces,
+  self: string,
+  availabilityOf: (vm: string) => OwnerAvailability,
+): readonly OwnerTarget[] {
+  const dataCentre = dataCentreFor(query, places);
+  const owners = places.owners.get(dataCentre ?? '') ?? [];
+  const targets: OwnerTarget[] = [];
+  for (const vm of rendezvousOrder(query.workspace, owners)) {
+    if (vm === self) break;
+    if (availabilityOf(vm) === 'available') targets.push({kind: 'owner', vm});
+  }
+  return [...targets, DIRECT];
+}
+
+/**
+ * Statements for the primary go to its data centre, where they meet in one queue
+ * and connections open fast. Other reads stay in the data centre of the caller
+ * or go to the nearest one with a member.
+ */
+function dataCentreFor(
+  query: OwnerQuery,
+  places: OwnerPlaces,
+): string | undefined {
+  const {regionOf, dataCentre, owners, primaryDataCentre} = places;
+  const {regions} = query;
+  const isAllowed = (name: string): boolean =>
+    regions.length === 0 || regions.includes(regionOf(name));
+  if (query.need === 'primary' && primaryDataCentre !== undefined) {
+    const isPermitted =
+      isAllowed(primaryDataCentre) ||
+      regionOf(primaryDataCentre) === regionOf(dataCentre);
+    if (!isPermitted) return undefined;
+    if (owners.has(primaryDataCentre)) return primaryDataCentre;
+  }
+  const candidates = places.memberDataCentres.filter(
+    name => owners.has(name) && isAllowed(name),
+  );
+  if (candidates.includes(dataCentre)) return dataCentre;
+  const isNear = (name: string): boolean =>
+    regionOf(name) === regionOf(dataCentre);
+  const near = candidates.filter(isNear);
+  // The hash spreads data centres without a member over the others.
+  return rendezvousOrder(dataCentre, near.length > 0 ? near : candidates)[0];
+}
--- /dev/null
+++ b/packages/core/src/owners/select_owners.ts
@@ -0,0 +1,38 @@
+import {MAX_VMS_WITHOUT_SELECTION} from '../common/representatives.js';
+import {rendezvousOrder} from '../common/rendezvous.js';
+
+/** The number of VMs per data centre that own a group's connections. */
+const OWNERS_PER_DATA_CENTRE = 2;
+/** With fewer connections per VM than this, a VM can keep none idle. */
+const MIN_CONNECTIONS_PER_VM = 2;
+
+/** The owners of a group by data centre, in the order of their hashes. */
+export type OwnersByDataCentre = ReadonlyMap<string, readonly string[]>;
+
+/**
+ * Returns whether a few VMs own a group's connections: a large fleet whose
+ * members accept fewer than two connections from each VM.
+ */
+export function hasOwners(connectionLimit: number, vmCount: number): boolean {
+  return (
+    vmCount > MAX_VMS_WITHOUT_SELECTION &&
+    connectionLimit / vmCount < MIN_CONNECTIONS_PER_VM
+  );
+}
+
+/** Chooses the VMs of each data centre that own a group's connections. */
+export function selectOwners(
+  group: string,
+  dataCentreByVm: ReadonlyMap<string, string>,
+): OwnersByDataCentre {
+  const owners = new Map<string, string[]>();
+  for (const vm of rendezvousOrder(`owner/${group}`, [
+    ...dataCentreByVm.keys(),
+  ])) {
+    const dataCentre = dataCentreByVm.get(vm) ?? '';
+    const chosen = owners.get(dataCentre) ?? [];
+    if (chosen.length < OWNERS_PER_DATA_CENTRE) chosen.push(vm);
+    owners.set(dataCentre, chosen);
+  }
+  return owners;
+}
--- a/packages/gateway/src/daemon/__tests__/graceful_stop.test.ts
+++ b/packages/gateway/src/daemon/__tests__/graceful_stop.test.ts
@@ -60,6 +60,7 @@
     graceMs: GRACE_MS,
     sessions,
     callers: new FakeCallerServer(() => after(sendMs, 'answers sent')),
+    owner: {isBusy: false, tell: ({kind}) => record(`owner: ${kind}`)},
     closeDatabases: () => record('databases closed'),
     leaveFleet: () => after(leaveMs, 'left the fleet'),
     clock: () => Date.now(),
--- a/packages/gateway/src/daemon/daemon_peer_handlers.ts
+++ b/packages/gateway/src/daemon/daemon_peer_handlers.ts
@@ -5,6 +5,13 @@
 import type {PositionTask, RelayedPositions} from '../fleet/position_task.js';
 import type {RelayRequest, RelayedRows} from '../fleet/relayed_rows.js';
 import type {LeadershipTask} from '../leadership/leadership_task.js';
+import type {
+  EndTransactionRequest,
+  ExecuteInRequest,
+  ExecuteRequest,
+  ForwardAnswer,
+} from '../owners/forward_schema.js';
+import type {OwnerTask} from '../owners/owner_task.js';
 import {GatewayHandlers} from '../peers/gateway_handlers.js';
 import type {RelayedConfiguration} from '../peers/gateway_handlers.js';
 import type {
@@ -28,6 +35,7 @@
   readonly configuration: ConfigurationTask;
   readonly directory: DirectoryTask;
   readonly positions: PositionTask;
+  readonly owner: OwnerTask;
 }
 
 /** Forwards each peer request to the task that owns the state in question. */
@@ -101,4 +109,18 @@
       this.deps.quota.tell({kind: 'give', workspace, asked, reply}),
     );
   }
+
+  override execute(req: ExecuteRequest): Promise<ForwardAnswer> {
+    return ask(reply => this.deps.owner.tell({kind: 'execute', req, reply}));
+  }
+
+  override executeIn(req: ExecuteInRequest): Promise<ForwardAnswer> {
+    return ask(reply => this.deps.owner.tell({kind: 'execute-in', req, reply}));
+  }
+
+  override endTransaction(req: EndTransactionRequest): Promise<void> {
+    return ask(reply =>
+      this.deps.owner.tell({kind: 'end-transaction', req, reply}),
+    );
+  }
 }
--- a/packages/gateway/src/daemon/database_set.ts
+++ b/packages/gateway/src/daemon/database_set.ts
@@ -5,7 +5,9 @@
 } from '@pistachiorill/core';
 import type {Clock} from '@pistachiorill/tasks';
 import type {Logger} from '@pistachiorill/telemetry';
+import type {OwnerShare} from '../database/database_message.js';
 import {DatabaseTask} from '../database/database_task.js';
+import type {OwnerDirectory} from '../owners/owner_directory.js';
 import {primaryLeaseOf} from '../fleet/fleet_view.js';
 import type {FleetView} from '../fleet/fleet_view.js';
 import type {OperatorState} from '../ports/configuration_source.js';
@@ -26,6 +28,7 @@
   readonly settings: GatewaySettings;
   readonly links: MemberLinkFactory;
   readonly view: () => FleetView;
+  readonly owners: OwnerDirectory;
   readonly requestPositions: (group: string) => 'requested' | 'not-sampled';
   readonly onSuspect: (group: string, primary: string, since: number) => void;
   readonly clock: Clock;
@@ -48,6 +51,7 @@
   private operators: OperatorState | undefined;
   private members: readonly ListedMember[] = [];
   private vmCount = 1;
+  private ownerCandidates: OwnerDirectory['candidates'] = new Map();
   private phase: 'open' | 'closed' = 'open';
 
   constructor(private readonly deps: DatabaseSetDependencies) {}
@@ -86,15 +90,17 @@
     this.sendViews();
   }
 
-  /** Sends the recorded primaries, and the number of VMs if it changed. */
+  /** Sends the recorded primaries, and the VMs if they changed. */
   updateFleet(view: FleetView): void {
     for (const [group, task] of this.tasks) {
       const leadership = view.rows.leadership.get(group);
       task.tell({kind: 'leadership', leadership});
     }
     const vmCount = Math.max(1, view.rows.vms.size);
-    if (vmCount === this.vmCount) return;
+    const {candidates} = this.deps.owners;
+    if (vmCount === this.vmCount && candidates === this.ownerCandidates) return;
     this.vmCount = vmCount;
+    this.ownerCandidates = candidates;
     this.sendViews();
   }
 
@@ -175,8 +181,17 @@
           members: this.membersOf(group),
           dataCentresOut: operators.dataCentresOut,
           vmCount: this.vmCount,
+          owners: this.ownersOf(group),
         },
       });
     }
   }
+
+  private ownersOf(group: string): OwnerShare | undefined {
+    const byDataCentre = this.deps.owners.ownersOf(group);
+    if (!byDataCentre) return undefined;
+    const {name, data_centre: dataCentre} = this.deps.settings.vm;
+    const isOwner = byDataCentre.get(dataCentre)?.includes(name) === true;
+    return {byDataCentre, role: isOwner ? 'owner' : 'other'};
+  }
 }
--- a/packages/gateway/src/daemon/gateway_daemon.ts
+++ b/packages/gateway/src/daemon/gateway_daemon.ts
@@ -7,10 +7,11 @@
   StoreWriteError,
   TransactionResult,
 } from '@pistachiorill/store';
-import type {Result} from '@pistachiorill/core';
+import type {Result, RuntimeConfiguration} from '@pistachiorill/core';
 import {Pipeline, ask} from '@pistachiorill/tasks';
 import type {Logger} from '@pistachiorill/telemetry';
 import {SuspensionClock, SystemClocks} from '../clock/suspension_clock.js';
+import type {DatabaseTask} from '../database/database_task.js';
 import {DatabaseSet} from './database_set.js';
 import {FleetTask} from '../fleet/fleet_task.js';
 import {EMPTY_FLEET_VIEW, isProven, provenShares} from '../fleet/fleet_view.js';
@@ -21,6 +22,8 @@
 import {LeadershipTask} from '../leadership/leadership_task.js';
 import {ConfigurationTask} from '../operators/configuration_task.js';
 import {DirectoryTask} from '../operators/directory_task.js';
+import {OwnerSubsystem} from '../owners/owner_subsystem.js';
+import type {OwnerTask} from '../owners/owner_task.js';
 import {GATEWAY_ROUTER} from '../peers/gateway_router.js';
 import {PeerSet} from '../peers/peer_set.js';
 import {newWatcherChoice} from '../peers/watcher_choice.js';
@@ -32,7 +35,6 @@
 import {QuotaTask} from '../quota/quota_task.js';
 import {WorkspaceShares} from '../quota/workspace_shares.js';
 import {AdmitFilter} from '../session/admit_filter.js';
-import {PlaceFilter} from '../session/place_filter.js';
 import {RouteFilter} from '../session/route_filter.js';
 import {SessionTask} from '../session/session_task.js';
 import type {SessionDependencies} from '../session/session_message.js';
@@ -62,6 +64,7 @@
   private readonly configuration: ConfigurationTask;
   private readonly directory: DirectoryTask;
   private readonly positions: PositionTask;
+  private readonly owner: OwnerTask;
   private readonly peerServer: PeerServer;
   private readonly sessionDependencies: SessionDependencies;
   private metricsServer: Server | undefined;
@@ -139,8 +142,28 @@
       log,
       onFailed,
     });
+    const configuration = (): RuntimeConfiguration | undefined =>
+      this.operators?.configuration;
+    const database = (group: string): DatabaseTask | undefined =>
+      this.databases.get(group);
+    const owners = new OwnerSubsystem({
+      vm: {name: vm, dataCentre, incarnation},
+      regionOf: name => settings.regions[name] ?? '',
+      view,
+      members: group => this.databases.membersOf(group),
+      isOutOfService: member => this.isOutOfService(member),
+      database,
+      configuration,
+      client: peers,
+      clock,
+      log,
+      metrics: this.metrics,
+      onFailed,
+    });
+    this.owner = owners.task;
     this.databases = new DatabaseSet({
       settings,
+      owners: owners.directory,
       links: this.ports.links,
       view,
       requestPositions: group => {
@@ -225,6 +248,7 @@
             configuration: this.configuration,
             directory: this.directory,
             positions: this.positions,
+            owner: this.owner,
           }),
         },
       },
@@ -234,17 +258,8 @@
       admit: Pipeline.of(new RouteFilter(), clock).then(
         new AdmitFilter(this.quota),
       ),
-      place: Pipeline.of(
-        new PlaceFilter({
-          database: group => this.databases.get(group),
-          configuration: () => this.operators?.configuration,
-          clock,
-          log,
-        }),
-        clock,
-      ),
-      database: group => this.databases.get(group),
-      configuration: () => this.operators?.configuration,
+      run: Pipeline.of(owners.filter, clock),
+      configuration,
       refundToken: workspace => this.quota.tell({kind: 'refund', workspace}),
       clock,
       log,
@@ -275,7 +290,11 @@
       graceMs: this.settings.limits.grace_ms,
       sessions: this.sessions,
       callers: this.ports.callers,
-      closeDatabases: () => this.databases.close(),
+      owner: this.owner,
+      closeDatabases: () => {
+        this.databases.close();
+        this.peers.closeStatements();
+      },
       leaveFleet: () => ask(reply => this.fleet.tell({kind: 'leave', reply})),
       clock: this.clock,
       log: this.log,
@@ -344,6 +363,10 @@
         .map(([vm, {value}]) => ({vm, address: value.peers})),
     );
     this.databases.updateFleet(view);
+    const incarnations = new Map(
+      [...view.rows.vms].map(([vm, {value}]) => [vm, value.incarnation]),
+    );
+    this.owner.tell({kind: 'registrations', incarnations});
   }
 
   private applyOperatorState(state: OperatorState): void {
--- a/packages/gateway/src/daemon/graceful_stop.ts
+++ b/packages/gateway/src/daemon/graceful_stop.ts
@@ -22,7 +22,12 @@
   /** The open sessions, which remove themselves. */
   readonly sessions: ReadonlySet<{tell(message: SessionMessage): void}>;
   readonly callers: CallerServer;
-  /** Ends all statements and the use of primaries. */
+  /** Runs statements for other VMs. */
+  readonly owner: {
+    readonly isBusy: boolean;
+    tell(message: {kind: 'drain' | 'abort-transactions'}): void;
+  };
+  /** Ends all statements, also at other VMs, and the use of primaries. */
   readonly closeDatabases: () => void;
   /** Removes the VM's registration. */
   readonly leaveFleet: () => Promise<void>;
@@ -38,14 +43,16 @@
 export async function stopGracefully(
   deps: GracefulStopDependencies,
 ): Promise<void> {
-  const {graceMs, sessions, callers, clock, log} = deps;
+  const {graceMs, sessions, callers, owner, clock, log} = deps;
   const startedAt = clock();
   log.info({event: 'gateway.draining', graceMs}, 'gateway is draining');
+  owner.tell({kind: 'drain'});
   await sleep(Math.min(BALANCER_REROUTE_MS, graceMs / 2));
   for (const session of sessions) session.tell({kind: 'drain'});
   const callersEnded = callers.close();
   await waitForSessions(deps, startedAt + graceMs / 2);
   for (const session of sessions) session.tell({kind: 'abort-transaction'});
+  owner.tell({kind: 'abort-transactions'});
   await waitForSessions(deps, startedAt + graceMs - EXIT_RESERVE_MS);
   const remaining = sessions.size;
   // No primary lease may remain in use once this VM's row is removed.
@@ -71,8 +78,10 @@
 }
 
 async function waitForSessions(
-  {sessions, clock}: GracefulStopDependencies,
+  {sessions, owner, clock}: GracefulStopDependencies,
   until: number,
 ): Promise<void> {
-  while (sessions.size > 0 && clock() < until) await sleep(IDLE_CHECK_MS);
+  while ((sessions.size > 0 || owner.isBusy) && clock() < until) {
+    await sleep(IDLE_CHECK_MS);
+  }
 }
--- a/packages/gateway/src/database/database_message.ts
+++ b/packages/gateway/src/database/database_message.ts
@@ -1,6 +1,7 @@
 import type {
   GroupSettings,
   LogPosition,
+  OwnersByDataCentre,
   PositionSamples,
   PrimaryObservation,
   Result,
@@ -26,6 +27,15 @@
   readonly dataCentresOut: ReadonlySet<string>;
   /** The number of VMs that share each member's connections. */
   readonly vmCount: number;
+  /** Undefined if every VM uses its own connections. */
+  readonly owners?: OwnerShare | undefined;
+}
+
+/** How the owners of a group share the connections of its members. */
+export interface OwnerShare {
+  readonly byDataCentre: OwnersByDataCentre;
+  /** Whether this VM is one of them. */
+  readonly role: 'owner' | 'other';
 }
 
 /** How a VM stops using a primary. */
--- a/packages/gateway/src/database/member_table.ts
+++ b/packages/gateway/src/database/member_table.ts
@@ -19,17 +19,11 @@
 } from './member_health.js';
 import type {MemberHealth} from './member_health.js';
 import {MemberPool} from './member_pool.js';
+import {poolLimitsOf, warmupShareOf} from './member_shares.js';
 import type {MemberPoolLimits} from './member_pool.js';
 
 /** A replica that lacks a required position is avoided for this long. */
 const BEHIND_AVOID_MS = 150;
-/** The number of concurrent statements per VM and slot of a member. */
-const STATEMENTS_PER_SLOT = 2;
-/** The share of a member's connections that all VMs together keep idle. */
-const IDLE_CONNECTION_SHARE = 0.5;
-/** The number of connections per member that stay free for control. */
-const RESERVED_CONTROL_CONNECTIONS = 1;
-
 /** The services that the table uses. */
 export interface MemberTableDependencies {
   readonly vm: {readonly dataCentre: string; readonly region: string};
@@ -78,7 +72,8 @@
     view: GroupView,
     now: number,
   ): void {
-    const limits = poolLimitsOf(listed, view);
+    const {dataCentre} = this.deps.vm;
+    const limits = poolLimitsOf(listed, view, dataCentre);
     const entry =
       this.entries.get(listed.member) ?? this.addEntry(listed, limits);
     entry.listed = listed;
@@ -87,7 +82,7 @@
     entry.leavingSince =
       listed.state === 'leaving' ? (entry.leavingSince ?? now) : undefined;
     entry.warmup.configure(
-      view.settings.warmupPerSecond / view.vmCount,
+      view.settings.warmupPerSecond * warmupShareOf(listed, view, dataCentre),
       now + listed.remainingWarmupMs,
     );
     if (!this.accepts(listed)) entry.pool.drain();
@@ -333,33 +328,3 @@
     if (entry) entry.health = change(entry.health);
   }
 }
-
-function poolLimitsOf(
-  {slots}: ListedMember,
-  {settings, vmCount}: GroupView,
-): MemberPoolLimits {
-  const connections = Math.max(
-    1,
-    settings.connectionLimit - RESERVED_CONTROL_CONNECTIONS,
-  );
-  return {
-    connections,
-    share: idleShareOf(connections, vmCount),
-    statements: Math.max(1, slots * STATEMENTS_PER_SLOT),
-  };
-}
-
-/**
- * Returns the number of idle connections that a VM keeps open. All VMs together
- * leave half of a member's connections free, as the connections of a VM that
- * lost power stay open at the member for seconds. If a member has fewer
- * connections than there are VMs, none is kept, as the VMs would otherwise lock
- * each other out.
- */
-function idleShareOf(connections: number, vmCount: number): number {
-  if (vmCount > connections) return 0;
-  return Math.max(
-    1,
-    Math.floor((connections * IDLE_CONNECTION_SHARE) / vmCount),
-  );
-}
--- /dev/null
+++ b/packages/gateway/src/owners/owner_calls.ts
@@ -0,0 +1,131 @@
+import {
+  INITIAL_OWNER_HEALTH,
+  afterCall,
+  afterOwnerAnswer,
+  afterOwnerFailure,
+  afterOwnerRefusal,
+  availabilityOf,
+  checkSilence,
+} from '@pistachiorill/core';
+import type {
+  ForwardFailure,
+  OwnerAvailability,
+  OwnerHealth,
+  Result,
+} from '@pistachiorill/core';
+import type {PeerError} from '@pistachiorill/peers';
+import type {Clock} from '@pistachiorill/tasks';
+import type {Logger} from '@pistachiorill/telemetry';
+import type {SessionRefusal} from '../ports/caller_link.js';
+import type {MemberAnswer} from '../ports/member_link.js';
+import type {GatewayMetrics} from '../telemetry/gateway_metrics.js';
+import type {ForwardAnswer} from './forward_schema.js';
+import type {OwnerClient} from './owner_client.js';
+
+/** What a forwarded statement came to. */
+export type ForwardResult =
+  | {readonly kind: 'done'; readonly answer: MemberAnswer}
+  /** The owner ran it as for its own callers, and refuses it. */
+  | {readonly kind: 'refused'; readonly refusal: SessionRefusal}
+  | {
+      readonly kind: 'failed';
+      readonly failure: ForwardFailure;
+      readonly detail: string;
+    };
+
+/** The services that the calls use. */
+export interface OwnerCallDependencies {
+  readonly client: OwnerClient;
+  readonly clock: Clock;
+  readonly log: Logger;
+  readonly metrics: GatewayMetrics;
+}
+
+/** Calls the owners and keeps what this VM has observed of each. */
+export class OwnerCalls {
+  private readonly health = new Map<string, OwnerHealth>();
+
+  constructor(private readonly deps: OwnerCallDependencies) {}
+
+  /** Whether an owner may get a new statement now. */
+  availabilityOf(owner: string): OwnerAvailability {
+    const now = this.deps.clock();
+    const health = checkSilence(this.healthOf(owner), now);
+    this.update(owner, health);
+    const availability = availabilityOf(health, now);
+    if (availability !== 'available') {
+      this.deps.metrics.forwardFellBack(availability);
+    }
+    return availability;
+  }
+
+  /** Whether an owner has answered any call since a time. */
+  hasAnsweredSince(owner: string, at: number): boolean {
+    return this.healthOf(owner).answeredAt >= at;
+  }
+
+  /** Makes a call that runs a statement, and records how it ended. */
+  async run(
+    owner: string,
+    send: (client: OwnerClient) => Promise<Result<ForwardAnswer, PeerError>>,
+  ): Promise<ForwardResult> {
+    const {clock, client, metrics} = this.deps;
+    const sentAt = clock();
+    this.update(owner, afterCall(this.healthOf(owner), sentAt));
+    metrics.forwarded();
+    const result = await send(client);
+    const health = this.healthOf(owner);
+    const now = clock();
+    if (!result.ok) {
+      const {kind, detail} = result.err;
+      if (kind === 'rejected') {
+        this.update(owner, afterOwnerAnswer(health, now));
+        return {kind: 'failed', failure: 'not-sent', detail};
+      }
+      const reason = kind === 'unreachable' ? kind : 'silent';
+      this.update(owner, afterOwnerFailure(health, reason, sentAt, now));
+      const failure = kind === 'unreachable' ? 'not-sent' : kind;
+      return {kind: 'failed', failure, detail};
+    }
+    const answer = result.value;
+    if (answer.kind === 'not-run') {
+      const {reason} = answer;
+      const isUnable = reason === 'stopping' || reason === 'not-ready';
+      this.update(
+        owner,
+        isUnable
+          ? afterOwnerRefusal(health, reason, now)
+          : afterOwnerAnswer(health, now),
+      );
+      const detail = `the owner ${owner} refused: ${reason}`;
+      return {kind: 'failed', failure: reason, detail};
+    }
+    this.update(owner, afterOwnerAnswer(health, now));
+    if (answer.kind === 'refused') return answer;
+    const {rows, signature, transaction, applied} = answer;
+    const outcome = {kind: 'done', signature} as const;
+    return {kind: 'done', answer: {rows, outcome, transaction, applied}};
+  }
+
+  private healthOf(owner: string): OwnerHealth {
+    return this.health.get(owner) ?? INITIAL_OWNER_HEALTH;
+  }
+
+  private update(owner: string, health: OwnerHealth): void {
+    const before = this.healthOf(owner);
+    this.health.set(owner, health);
+    if (health.avoid === before.avoid) return;
+    if (!health.avoid) {
+      this.deps.log.info(
+        {event: 'owner.available', owner},
+        'an owner answers again',
+      );
+    } else if (health.avoid.reason !== before.avoid?.reason) {
+      const {reason} = health.avoid;
+      this.deps.log.warn(
+        {event: 'owner.unavailable', owner, reason},
+        'an owner gets no new statements for some time',
+      );
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/owners/owner_directory.ts
@@ -0,0 +1,104 @@
+import {
+  hasOwners,
+  isRevoked,
+  ownerTargets,
+  selectOwners,
+} from '@pistachiorill/core';
+import type {
+  OwnerAvailability,
+  OwnerTarget,
+  OwnersByDataCentre,
+} from '@pistachiorill/core';
+import {dataCentresOf} from '../fleet/fleet_rows.js';
+import type {FleetRows} from '../fleet/fleet_rows.js';
+import type {ListedMember} from '../ports/member_directory.js';
+import {requirementOf} from '../session/place_filter.js';
+import type {RoutedStatement} from '../session/session_statement.js';
+
+/** What the choice of owners depends on. */
+export interface OwnerDirectoryDependencies {
+  readonly vm: {readonly name: string; readonly dataCentre: string};
+  readonly regionOf: (dataCentre: string) => string;
+  readonly rows: () => FleetRows;
+  /** The connections that each member of a group accepts, if it is known. */
+  readonly connectionLimit: (group: string) => number | undefined;
+  readonly members: (group: string) => readonly ListedMember[];
+  readonly isOutOfService: (member: ListedMember) => boolean;
+}
+
+/** The owners of the groups, as they follow from the shared rows. */
+export class OwnerDirectory {
+  private rows: FleetRows | undefined;
+  private known: ReadonlyMap<string, string> = new Map();
+  private readonly selected = new Map<string, OwnersByDataCentre>();
+
+  constructor(private readonly deps: OwnerDirectoryDependencies) {}
+
+  /**
+   * The VMs that may be owners and their data centres; the same object as long
+   * as they stay the same. A VM that is presumed lost is none of them.
+   */
+  get candidates(): ReadonlyMap<string, string> {
+    const rows = this.deps.rows();
+    if (rows === this.rows) return this.known;
+    this.rows = rows;
+    const shares = rows.shares?.value;
+    const current = new Map(
+      [...dataCentresOf(rows)].filter(
+        ([vm]) => !(shares && isRevoked(shares, vm)),
+      ),
+    );
+    if (isSame(current, this.known)) return this.known;
+    this.known = current;
+    this.selected.clear();
+    return current;
+  }
+
+  /** The owners of a group; none if every VM uses its own connections. */
+  ownersOf(group: string): OwnersByDataCentre | undefined {
+    const limit = this.deps.connectionLimit(group);
+    const {candidates} = this;
+    const vmCount = this.deps.rows().vms.size;
+    if (limit === undefined || !hasOwners(limit, vmCount)) return undefined;
+    const owners = this.selected.get(group) ?? selectOwners(group, candidates);
+    this.selected.set(group, owners);
+    return owners;
+  }
+
+  /** Returns where to run a statement, in order. */
+  targets(
+    statement: RoutedStatement,
+    availabilityOf: (vm: string) => OwnerAvailability,
+  ): readonly OwnerTarget[] {
+    const {group} = statement.route;
+    const owners = this.ownersOf(group);
+    if (!owners) return [{kind: 'direct'}];
+    const {vm, regionOf, members, isOutOfService, rows} = this.deps;
+    const listed = members(group);
+    const record = rows().leadership.get(group)?.record;
+    const primary = record?.phase === 'moving' ? record.from : record?.primary;
+    const {workspace, regions} = statement;
+    return ownerTargets(
+      {workspace, regions, need: requirementOf(statement).kind},
+      {
+        dataCentre: vm.dataCentre,
+        regionOf,
+        owners,
+        primaryDataCentre: listed.find(item => item.member === primary)
+          ?.dataCentre,
+        memberDataCentres: listed
+          .filter(item => item.state === 'ready' && !isOutOfService(item))
+          .map(item => item.dataCentre),
+      },
+      vm.name,
+      availabilityOf,
+    );
+  }
+}
+
+function isSame(
+  a: ReadonlyMap<string, string>,
+  b: ReadonlyMap<string, string>,
+): boolean {
+  return a.size === b.size && [...a].every(([vm, dc]) => b.get(vm) === dc);
+}
--- a/packages/gateway/src/peers/gateway_handlers.ts
+++ b/packages/gateway/src/peers/gateway_handlers.ts
@@ -1,4 +1,10 @@
 import type {LogPosition, PrimaryObservation} from '@pistachiorill/core';
+import type {
+  EndTransactionRequest,
+  ExecuteInRequest,
+  ExecuteRequest,
+  ForwardAnswer,
+} from '../owners/forward_schema.js';
 import type {RelayRequest, RelayedRows} from '../fleet/relayed_rows.js';
 import type {RelayedPositions} from '../fleet/position_task.js';
 import type {RelayedMembers} from '../operators/directory_task.js';
@@ -49,4 +55,10 @@
   abstract positions(): Promise<RelayedPositions>;
   /** Returns the number of tokens that this VM transfers to the caller. */
   abstract tokens(workspace: string, asked: number): Promise<number>;
+  /** Runs a single statement, or the first one of a transaction. */
+  abstract execute(req: ExecuteRequest): Promise<ForwardAnswer>;
+  /** Runs a statement of a transaction that this VM holds. */
+  abstract executeIn(req: ExecuteInRequest): Promise<ForwardAnswer>;
+  /** Rolls back a transaction that this VM holds. */
+  abstract endTransaction(req: EndTransactionRequest): Promise<void>;
 }
--- a/packages/gateway/src/peers/gateway_router.ts
+++ b/packages/gateway/src/peers/gateway_router.ts
@@ -1,5 +1,10 @@
 import {initTRPC} from '@trpc/server';
 import * as z from 'zod';
+import {
+  END_TRANSACTION_SCHEMA,
+  EXECUTE_IN_SCHEMA,
+  EXECUTE_SCHEMA,
+} from '../owners/forward_schema.js';
 import type {GatewayHandlers} from './gateway_handlers.js';
 
 /** What each procedure receives besides its input. */
@@ -93,6 +98,18 @@
     .mutation(({ctx, input}) =>
       ctx.handlers.tokens(input.workspace, input.asked),
     ),
+  /** Runs a single statement, or the first one of a transaction. */
+  execute: t.procedure
+    .input(EXECUTE_SCHEMA)
+    .mutation(({ctx, input}) => ctx.handlers.execute(input)),
+  /** Runs a statement of a transaction that the VM holds for the caller. */
+  executeIn: t.procedure
+    .input(EXECUTE_IN_SCHEMA)
+    .mutation(({ctx, input}) => ctx.handlers.executeIn(input)),
+  /** Rolls back a transaction that the VM holds for the caller. */
+  endTransaction: t.procedure
+    .input(END_TRANSACTION_SCHEMA)
+    .mutation(({ctx, input}) => ctx.handlers.endTransaction(input)),
 });
 
 /** The router's type, from which the client's calls are typed. */
--- a/packages/gateway/src/peers/peer_set.ts
+++ b/packages/gateway/src/peers/peer_set.ts
@@ -10,6 +10,13 @@
 import type {PeerError} from '@pistachiorill/peers';
 import {createTRPCClient} from '@trpc/client';
 import type {TRPCClient} from '@trpc/client';
+import type {
+  EndTransactionRequest,
+  ExecuteInRequest,
+  ExecuteRequest,
+  ForwardAnswer,
+} from '../owners/forward_schema.js';
+import {OwnerClient} from '../owners/owner_client.js';
 import type {RelayRequest, RelayedRows} from '../fleet/relayed_rows.js';
 import type {RelayedPositions} from '../fleet/position_task.js';
 import type {RelayedMembers} from '../operators/directory_task.js';
@@ -27,10 +34,16 @@
   readonly address: string;
 }
 
-interface Peer {
-  readonly address: string;
+/** The connections to a peer, and the client that uses them. */
+interface PeerConnections {
   readonly agent: Agent;
   readonly client: TRPCClient<GatewayRouter>;
+}
+
+interface Peer extends PeerConnections {
+  readonly address: string;
+  /** Apart, as they end earlier when this VM stops. */
+  readonly statements: PeerConnections;
   /** Calls in a row without an answer. */
   failures: number;
 }
@@ -43,12 +56,19 @@
  */
 const MAX_CONSECUTIVE_FAILURES = 2;
 const IDLE_TIMEOUT_MS = 30_000;
+/**
+ * An owner that accepts no connection within this time is dark; a longer wait
+ * would use up the latency target of a write, which is not hedged.
+ */
+const OWNER_CONNECT_TIMEOUT_MS = 250;
 
 /** Calls the remote procedures of the other registered VMs. */
-export class PeerSet {
+export class PeerSet extends OwnerClient {
   private readonly peers = new Map<string, Peer>();
 
-  constructor(private readonly random: Random) {}
+  constructor(private readonly random: Random) {
+    super();
+  }
 
   /** Names of the other VMs that are registered. */
   get names(): readonly string[] {
@@ -60,7 +80,7 @@
     const listed = new Map(addresses.map(item => [item.vm, item.address]));
     for (const [vm, peer] of this.peers) {
       if (listed.get(vm) === peer.address) continue;
-      peer.agent.destroy();
+      destroyConnections(peer);
       this.peers.delete(vm);
     }
     for (const [vm, address] of listed) {
@@ -171,9 +191,40 @@
     );
   }
 
+  override execute(
+    vm: string,
+    req: ExecuteRequest,
+    timeoutMs: number,
+  ): Answer<ForwardAnswer> {
+    return this.callOwner(vm, timeoutMs, (c, o) => c.execute.mutate(req, o));
+  }
+
+  override executeIn(
+    vm: string,
+    req: ExecuteInRequest,
+    timeoutMs: number,
+  ): Answer<ForwardAnswer> {
+    return this.callOwner(vm, timeoutMs, (c, o) => c.executeIn.mutate(req, o));
+  }
+
+  override endTransaction(
+    vm: string,
+    req: EndTransactionRequest,
+    timeoutMs: number,
+  ): Answer<void> {
+    return this.callOwner(vm, timeoutMs, (c, o) =>
+      c.endTransaction.mutate(req, o),
+    );
+  }
+
+  /** Ends the calls to owners that are under way, without their answers. */
+  closeStatements(): void {
+    for (const {statements} of this.peers.values()) statements.agent.destroy();
+  }
+
   /** Closes all connections to peers. */
   close(): void {
-    for (const peer of this.peers.values()) peer.agent.destroy();
+    for (const peer of this.peers.values()) destroyConnections(peer);
     this.peers.clear();
   }
 
@@ -190,9 +241,28 @@
     peer.failures = result.ok ? 0 : peer.failures + 1;
     return result;
   }
+
+  /** Calls an owner, whose health `OwnerCalls` records. */
+  private async callOwner<T>(
+    vm: string,
+    timeoutMs: number,
+    send: (client: TRPCClient<GatewayRouter>, options: object) => Promise<T>,
+  ): Answer<T> {
+    const peer = this.peers.get(vm);
+    if (!peer) return fail({kind: 'unreachable', detail: `unknown VM ${vm}`});
+    return callPeer(
+      {timeoutMs, connectTimeoutMs: OWNER_CONNECT_TIMEOUT_MS},
+      options => send(peer.statements.client, options),
+    );
+  }
 }
 
 function newPeer(address: string): Peer {
+  const statements = newConnections(address);
+  return {address, ...newConnections(address), statements, failures: 0};
+}
+
+function newConnections(address: string): PeerConnections {
   const agent = new Agent({
     keepAlive: true,
     scheduling: 'lifo',
@@ -201,5 +271,10 @@
   const client = createTRPCClient<GatewayRouter>({
     links: [peerLink<GatewayRouter>(address, agent)],
   });
-  return {address, agent, client, failures: 0};
+  return {agent, client};
+}
+
+function destroyConnections({agent, statements}: Peer): void {
+  agent.destroy();
+  statements.agent.destroy();
 }
--- a/packages/gateway/src/session/open_transaction.ts
+++ b/packages/gateway/src/session/open_transaction.ts
@@ -3,7 +3,6 @@
   PreparedStatement,
   Result,
   SessionValues,
-  StatementAccess,
 } from '@pistachiorill/core';
 import {ask} from '@pistachiorill/tasks';
 import type {Clock} from '@pistachiorill/tasks';
@@ -12,52 +11,32 @@
 import type {Checkout} from '../database/checkout.js';
 import type {JobFault, JobResult} from '../database/member_connection.js';
 import type {SessionRefusal} from '../ports/caller_link.js';
-import type {MemberAnswer, MemberCommand} from '../ports/member_link.js';
+import type {MemberCommand} from '../ports/member_link.js';
 import {concludeFault} from './conclude_fault.js';
-
-/** A member's answer and the group whose log its position belongs to. */
-export interface GroupAnswer {
-  readonly answer: MemberAnswer;
-  readonly group: string;
-}
+import {MemberTransaction} from './member_transaction.js';
+import type {GroupAnswer, PinnedStatement} from './member_transaction.js';
 
 /** The time limit of a rollback. */
 const ROLLBACK_TIMEOUT_MS = 400;
 
-/** A statement inside a transaction, which runs on its connection. */
-export interface PinnedStatement {
-  readonly id: string;
-  readonly command: MemberCommand;
-  readonly access: StatementAccess | 'commit';
-  readonly prepared?: PreparedStatement | undefined;
-  readonly values: SessionValues;
-  /** The time at which the statement times out. */
-  readonly deadline: number;
-}
-
 /** A transaction, which keeps its connection checked out until it ends. */
-export class OpenTransaction {
+export class OpenTransaction extends MemberTransaction {
   private state: 'open' | 'ended' = 'open';
 
   constructor(
-    /** The id of its first statement. */
-    readonly request: string,
-    /** The workspace that its statements run for. */
-    readonly workspace: string,
+    override readonly request: string,
+    override readonly workspace: string,
     /** The group at which it runs, also after its route has moved. */
     private readonly group: string,
-    /** The route's statement timeout when the transaction began. */
-    readonly statementTimeoutMs: number,
+    override readonly statementTimeoutMs: number,
     private readonly checkout: Checkout,
     private readonly database: DatabaseTask,
     private readonly clock: Clock,
-  ) {}
+  ) {
+    super();
+  }
 
-  /**
-   * Runs a statement. Any failure ends the transaction, and so does a result
-   * from a member that may have been replaced as the primary.
-   */
-  async run(
+  override async run(
     statement: PinnedStatement,
   ): Promise<Result<GroupAnswer, SessionRefusal>> {
     const {id, command, prepared, values, deadline, access} = statement;
@@ -77,8 +56,7 @@
     return fail(concludeFault(effect, 'pinned', fault).refusal);
   }
 
-  /** Rolls back and returns the connection for reuse. */
-  async rollback(values: SessionValues): Promise<void> {
+  override async rollback(values: SessionValues): Promise<void> {
     if (this.state === 'ended') return;
     this.state = 'ended';
     const result = await this.send({
@@ -91,7 +69,7 @@
   }
 
   /** Closes the connection, upon which the member rolls back. */
-  abandon(): void {
+  override abandon(): void {
     this.checkout.connection.tell({kind: 'close'});
     this.end();
   }
--- a/packages/gateway/src/session/place_filter.ts
+++ b/packages/gateway/src/session/place_filter.ts
@@ -18,6 +18,7 @@
 import type {SessionRefusal} from '../ports/caller_link.js';
 import type {MemberAnswer} from '../ports/member_link.js';
 import {busyRefusal, concludeFault} from './conclude_fault.js';
+import {firstSuccess} from './first_success.js';
 import {refusalAfterWait} from './session_access.js';
 import type {RoutedStatement} from './session_statement.js';
 
@@ -34,6 +35,12 @@
  */
 const HEDGE_MIN_MS = 70;
 const HEDGE_TARGET_SHARE = 0.45;
+
+/** Returns after which time a read without a result is sent once more. */
+export function hedgeDelayMs(targetMs: number): number {
+  return Math.max(HEDGE_MIN_MS, targetMs * HEDGE_TARGET_SHARE);
+}
+
 /** The share of the latency target that a statement may wait to check out. */
 const CHECKOUT_WAIT_SHARE = 0.9;
 /** How long a statement may wait for a new primary. */
@@ -115,8 +122,7 @@
     if (statement.access !== 'read' || statement.begin !== undefined) {
       return first.done;
     }
-    const {targetMs} = statement.route;
-    const hedgeMs = Math.max(HEDGE_MIN_MS, targetMs * HEDGE_TARGET_SHARE);
+    const hedgeMs = hedgeDelayMs(statement.route.targetMs);
     const winner = await Promise.race([first.done, sleep(hedgeMs)]);
     if (winner !== undefined) return winner;
     const member = first.member();
@@ -294,13 +300,15 @@
   }
 }
 
-function effectOf({access, begin}: RoutedStatement): StatementEffect {
+/** Returns how a statement affects data. */
+export function effectOf({access, begin}: RoutedStatement): StatementEffect {
   if (access === 'commit') return 'commit';
   if (access === 'read') return 'read';
   return begin === undefined ? 'write' : 'write-in-transaction';
 }
 
-function requirementOf({
+/** Returns which members may run a statement. */
+export function requirementOf({
   route,
   access,
   begin,
@@ -317,14 +325,3 @@
   const seen = own.kind === 'at-least' ? own.position : undefined;
   return {kind: 'recent', maxAgeMs, seen};
 }
-
-/** Returns the first result that succeeds, or else the failure of `a`. */
-async function firstSuccess(
-  a: Promise<AttemptResult>,
-  b: Promise<AttemptResult>,
-): Promise<AttemptResult> {
-  const first = await Promise.race([a, b]);
-  if (first.ok) return first;
-  const [one, two] = await Promise.all([a, b]);
-  return one.ok ? one : two.ok ? two : one;
-}
--- a/packages/gateway/src/session/session_access.ts
+++ b/packages/gateway/src/session/session_access.ts
@@ -19,9 +19,13 @@
  */
 export function refusalAfterWait(
   configuration: RuntimeConfiguration | undefined,
-  {caller, key, workspace}: RoutedStatement,
+  {caller, key, workspace, keyCheckedAt}: RoutedStatement,
 ): SessionRefusal | undefined {
   if (!configuration || caller === 'anonymous') return undefined;
+  // This VM may not yet have the configuration that contains the key.
+  if (keyCheckedAt !== undefined && keyCheckedAt >= configuration.version) {
+    return undefined;
+  }
   const holder = configuration.keys.get(key);
   if (holder === workspace) return undefined;
   if (holder === undefined) {
--- a/packages/gateway/src/session/session_message.ts
+++ b/packages/gateway/src/session/session_message.ts
@@ -1,10 +1,9 @@
 import type {RuntimeConfiguration} from '@pistachiorill/core';
 import type {Clock, Pipeline} from '@pistachiorill/tasks';
 import type {Logger} from '@pistachiorill/telemetry';
-import type {DatabaseTask} from '../database/database_task.js';
 import type {CallerEvent, SessionRefusal} from '../ports/caller_link.js';
 import type {GatewayMetrics} from '../telemetry/gateway_metrics.js';
-import type {PlacedAnswer} from './place_filter.js';
+import type {FirstAnswer} from './member_transaction.js';
 import type {ReceivedStatement, RoutedStatement} from './session_statement.js';
 
 /** The messages that a session's task handles. */
@@ -32,9 +31,8 @@
 export interface SessionDependencies {
   /** Authenticates a statement and applies the workspace's rate limit. */
   readonly admit: Pipeline<ReceivedStatement, RoutedStatement, SessionRefusal>;
-  /** Runs an admitted statement on a member. */
-  readonly place: Pipeline<RoutedStatement, PlacedAnswer, SessionRefusal>;
-  readonly database: (group: string) => DatabaseTask | undefined;
+  /** Runs an admitted statement on a member, also through an owner. */
+  readonly run: Pipeline<RoutedStatement, FirstAnswer, SessionRefusal>;
   readonly configuration: () => RuntimeConfiguration | undefined;
   /** Returns the token of an operation that was not run to its workspace. */
   readonly refundToken: (workspace: string) => void;
--- a/packages/gateway/src/session/session_records.ts
+++ b/packages/gateway/src/session/session_records.ts
@@ -1,5 +1,5 @@
 import type {SessionRefusal} from '../ports/caller_link.js';
-import type {OpenTransaction} from './open_transaction.js';
+import type {MemberTransaction} from './member_transaction.js';
 import type {SessionDependencies, SessionMessage} from './session_message.js';
 
 type RecordingDependencies = Pick<
@@ -21,7 +21,7 @@
 export function recordRollback(
   {log, metrics, configuration}: RecordingDependencies,
   database: string,
-  {request, workspace}: OpenTransaction,
+  {request, workspace}: MemberTransaction,
   reason: RollbackReason,
 ): void {
   metrics.rolledBack(reason);
--- a/packages/gateway/src/session/session_statement.ts
+++ b/packages/gateway/src/session/session_statement.ts
@@ -22,7 +22,7 @@
   readonly begin?: StatementAccess | undefined;
   readonly values: SessionValues;
   /** What reads of the session must see in each group. */
-  readonly positions: SessionPositions;
+  readonly positions: Pick<SessionPositions, 'of'>;
   /** Undefined until the VM has received a configuration. */
   readonly configuration: RuntimeConfiguration | undefined;
 }
@@ -37,6 +37,11 @@
   readonly regions: readonly string[];
   /** The time at which the statement times out. */
   readonly deadline: number;
+  /**
+   * The version of the configuration by which another VM has checked the key of
+   * a statement that it forwarded.
+   */
+  readonly keyCheckedAt?: number | undefined;
 }
 
 /** Sent to members in place of a workspace for callers without a key. */
--- a/packages/gateway/src/session/session_task.ts
+++ b/packages/gateway/src/session/session_task.ts
@@ -8,8 +8,8 @@
   SessionReply,
 } from '../ports/caller_link.js';
 import {runFirstStatement} from './first_statement.js';
-import type {GroupAnswer} from './open_transaction.js';
 import {IdleTimer} from './idle_timer.js';
+import type {GroupAnswer} from './member_transaction.js';
 import {memberWorkOf} from './member_work.js';
 import type {MemberStatement, MemberWork} from './member_work.js';
 import {resolveCaller} from './route_filter.js';
--- a/packages/gateway/src/session/session_transaction.ts
+++ b/packages/gateway/src/session/session_transaction.ts
@@ -1,14 +1,14 @@
 import type {StatementAccess} from '@pistachiorill/core';
 import type {CallerStatement, SessionReply} from '../ports/caller_link.js';
 import type {TransactionState} from '../ports/member_link.js';
-import type {OpenTransaction} from './open_transaction.js';
+import type {MemberTransaction} from './member_transaction.js';
 
 /** The state of a session's transaction. */
 export type SessionTransaction =
   | {readonly kind: 'none'}
   /** Begun by the caller; the first statement determines the member. */
   | {readonly kind: 'begun'; readonly access: StatementAccess}
-  | {readonly kind: 'open'; readonly transaction: OpenTransaction}
+  | {readonly kind: 'open'; readonly transaction: MemberTransaction}
   | {readonly kind: 'failed'};
 
 /** The state that each reply reports to the caller. */
--- a/packages/gateway/src/telemetry/gateway_metrics.ts
+++ b/packages/gateway/src/telemetry/gateway_metrics.ts
@@ -40,6 +40,38 @@
     registers: [this.registry],
   });
 
+  private readonly forwardedStatements = new Counter({
+    name: 'pistachiorill_gateway_forwarded_statements_total',
+    help: 'Statements that were sent to an owner.',
+    registers: [this.registry],
+  });
+
+  private readonly forwardFallbacks = new Counter({
+    name: 'pistachiorill_gateway_forward_fallbacks_total',
+    help: 'Owners that were passed over or gave no result, by reason.',
+    labelNames: ['reason'],
+    registers: [this.registry],
+  });
+
+  private readonly statementsForOthers = new Counter({
+    name: 'pistachiorill_gateway_statements_for_others_total',
+    help: 'Statements that this VM ran as an owner for other VMs.',
+    registers: [this.registry],
+  });
+
+  private readonly heldNow = new Gauge({
+    name: 'pistachiorill_gateway_held_transactions',
+    help: 'Open transactions that this VM holds for other VMs.',
+    registers: [this.registry],
+  });
+
+  private readonly heldRollbacks = new Counter({
+    name: 'pistachiorill_gateway_held_rollbacks_total',
+    help: 'Transactions of other VMs that this VM rolled back, by reason.',
+    labelNames: ['reason'],
+    registers: [this.registry],
+  });
+
   private readonly changes = new Counter({
     name: 'pistachiorill_gateway_primary_changes_total',
     help: 'Changes of primary that this VM carried out, by outcome.',
@@ -101,6 +133,31 @@
     this.rollbacks.inc({reason});
   }
 
+  /** Counts a statement that was sent to an owner. */
+  forwarded(): void {
+    this.forwardedStatements.inc();
+  }
+
+  /** Counts an owner that was passed over or gave no result. */
+  forwardFellBack(reason: string): void {
+    this.forwardFallbacks.inc({reason});
+  }
+
+  /** Counts a statement that this VM ran for another one. */
+  ranForOther(): void {
+    this.statementsForOthers.inc();
+  }
+
+  /** Records the number of transactions that this VM holds for others. */
+  heldTransactions(count: number): void {
+    this.heldNow.set(count);
+  }
+
+  /** Counts a transaction of another VM that this VM rolled back. */
+  heldRolledBack(reason: string): void {
+    this.heldRollbacks.inc({reason});
+  }
+
   /** Counts a primary change that this VM carried out. */
   primaryChanged(outcome: string): void {
     this.changes.inc({outcome});
--- a/packages/gateway/src/testing/fake_session.ts
+++ b/packages/gateway/src/testing/fake_session.ts
@@ -1,13 +1,18 @@
-import type {RuntimeConfiguration} from '@pistachiorill/core';
+import type {Filter, RuntimeConfiguration} from '@pistachiorill/core';
 import {Pipeline} from '@pistachiorill/tasks';
-import type {CallerStatement} from '../ports/caller_link.js';
+import type {CallerStatement, SessionRefusal} from '../ports/caller_link.js';
+import type {FirstAnswer} from '../session/member_transaction.js';
 import {PlaceFilter} from '../session/place_filter.js';
 import {RouteFilter} from '../session/route_filter.js';
+import {RunFilter} from '../session/run_filter.js';
+import type {RoutedStatement} from '../session/session_statement.js';
 import {SessionTask} from '../session/session_task.js';
 import {GatewayMetrics} from '../telemetry/gateway_metrics.js';
 import {FakeCaller} from './fake_caller.js';
 import {FakeGroup, silentLogger} from './fake_group.js';
 
+type SessionRunFilter = Filter<RoutedStatement, FirstAnswer, SessionRefusal>;
+
 /** How long a test waits for pending statements to finish. */
 export const SETTLE_MS = 40;
 
@@ -40,11 +45,13 @@
 
 /**
  * Starts a session with a fake caller and a group of fake members. `others` are
- * further groups by name, to which a test can move the route.
+ * further groups by name, to which a test can move the route. `wrap` puts a
+ * filter in front of the one that runs statements on the fake members.
  */
 export function startSession(
   connectionLimit?: number,
   others: ReadonlyMap<string, FakeGroup> = new Map(),
+  wrap: (local: RunFilter) => SessionRunFilter = local => local,
 ) {
   const fake = new FakeGroup(connectionLimit);
   const clock = (): number => performance.now();
@@ -53,21 +60,18 @@
   const state = {configuration: SESSION_CONFIGURATION};
   const caller = new FakeCaller();
   const metrics = new GatewayMetrics();
+  const configuration = () => state.configuration;
+  const local = new RunFilter({
+    place: new PlaceFilter({database, configuration, clock, log}),
+    database,
+    clock,
+  });
   const session = new SessionTask(
     caller,
     {
       admit: Pipeline.of(new RouteFilter(), clock),
-      place: Pipeline.of(
-        new PlaceFilter({
-          database,
-          configuration: () => state.configuration,
-          clock,
-          log,
-        }),
-        clock,
-      ),
-      database,
-      configuration: () => state.configuration,
+      run: Pipeline.of(wrap(local), clock),
+      configuration,
       refundToken: () => undefined,
       clock,
       log,
--- a/packages/peers/src/call_peer.ts
+++ b/packages/peers/src/call_peer.ts
@@ -7,21 +7,26 @@
 /** The timeout of a call, and a signal that may abort it earlier. */
 export interface CallOptions {
   readonly timeoutMs: number;
+  /** Within which time a new connection must open; `timeoutMs` if left out. */
+  readonly connectTimeoutMs?: number;
   readonly signal?: AbortSignal;
 }
 
 /** The options of one call as `peerLink` reads them. */
 interface LinkOptions {
-  readonly context: {readonly timeoutMs: number};
+  readonly context: Pick<CallOptions, 'timeoutMs' | 'connectTimeoutMs'>;
   readonly signal?: AbortSignal;
 }
 
 /** Makes one call and converts its exceptions to `PeerError`. */
 export async function callPeer<T>(
-  {timeoutMs, signal}: CallOptions,
+  {timeoutMs, connectTimeoutMs, signal}: CallOptions,
   send: (options: LinkOptions) => Promise<T>,
 ): Promise<Result<T, PeerError>> {
-  const context = {timeoutMs: Math.max(1, timeoutMs)};
+  const context = {
+    timeoutMs: Math.max(1, timeoutMs),
+    ...(connectTimeoutMs === undefined ? {} : {connectTimeoutMs}),
+  };
   try {
     return ok(await send({context, ...(signal ? {signal} : {})}));
   } catch (err) {
--- a/packages/peers/src/http_request.ts
+++ b/packages/peers/src/http_request.ts
@@ -25,6 +25,8 @@
   readonly path: string;
   readonly body: string;
   readonly timeoutMs: number;
+  /** The part of `timeoutMs` within which a new connection must open. */
+  readonly connectTimeoutMs?: number | undefined;
   readonly signal: AbortSignal | undefined;
 }
 
@@ -73,8 +75,10 @@
       req.destroy(timeout);
       closeIdleConnections(call.agent);
     }, call.timeoutMs);
+    let connectTimer: NodeJS.Timeout | undefined;
     const finish = (): void => {
       clearTimeout(timer);
+      clearTimeout(connectTimer);
       call.signal?.removeEventListener('abort', abort);
     };
     const failWith = (err: Error): void => {
@@ -90,7 +94,15 @@
         connection = 'open';
         return;
       }
+      if (call.connectTimeoutMs !== undefined) {
+        connectTimer = setTimeout(() => {
+          req.destroy(
+            new Error(`no connection in ${call.connectTimeoutMs} ms`),
+          );
+        }, call.connectTimeoutMs);
+      }
       socket.once('connect', () => {
+        clearTimeout(connectTimer);
         connection = 'open';
       });
     });
--- a/packages/peers/src/peer_link.ts
+++ b/packages/peers/src/peer_link.ts
@@ -32,6 +32,8 @@
           path: `/${op.path}`,
           body: op.input === undefined ? '' : JSON.stringify(op.input),
           timeoutMs: op.context['timeoutMs'] as number,
+          connectTimeoutMs: op.context['connectTimeoutMs'] as
+            number | undefined,
           signal: op.signal ?? undefined,
         })
           .then(text => {
