Test the owners' decisions, messages and failures

At most 20 calls to one owner are under way at a time instead of 64: each takes a descriptor of the owner, and 194 callers with 64 each exceed the 4,300 of a VM.

--- a/packages/core/src/owners/owner_health.ts
+++ b/packages/core/src/owners/owner_health.ts
@@ -7,8 +7,11 @@
 const MAX_BACKOFF_MS = 3_000;
 /** For how long an owner is avoided that has no recent view of the fleet. */
 const NOT_READY_AVOID_MS = 500;
-/** The number of calls to one owner that may be without an answer. */
-const MAX_OUTSTANDING = 64;
+/**
+ * The number of calls to one owner that may be without an answer. Each takes a
+ * connection: those of 195 VMs must fit into the 4,300 descriptors of an owner.
+ */
+const MAX_OUTSTANDING = 20;
 
 /** Why an owner gets no new statements for some time. */
 export type OwnerAvoidReason =
--- a/packages/gateway/src/owners/__tests__/forwarding.test.ts
+++ b/packages/gateway/src/owners/__tests__/forwarding.test.ts
@@ -1,3 +1,4 @@
+import type {DatabaseRoute, RuntimeConfiguration} from '@pistachiorill/core';
 import {afterEach, describe, expect, it} from 'vitest';
 import {
   BEGIN,
@@ -23,6 +24,7 @@
 
 /** A session on one VM whose group has two owners, `x` and `y`. */
 function start() {
+  /** The configuration of the owners. */
   const state = {configuration: SESSION_CONFIGURATION};
   const configuration = () => state.configuration;
   const x = new FakeOwner(configuration);
@@ -55,7 +57,7 @@
         ],
         calls,
         client,
-        configuration,
+        configuration: () => SESSION_CONFIGURATION,
         clock,
         log,
         metrics,
@@ -71,7 +73,10 @@
     y: y.group.member('a').requests,
     own: own.fake.member('a').requests,
   });
-  return {...own, x, y, calls, requests, state};
+  const setCallerConfiguration = (next: RuntimeConfiguration): void => {
+    own.state.configuration = next;
+  };
+  return {...own, x, y, requests, state, setCallerConfiguration};
 }
 
 type Fleet = ReturnType<typeof start>;
@@ -116,6 +121,60 @@
     expect(results).toMatchSnapshot();
   });
 
+  // Guards against a statement that runs with other session state than that of
+  // its caller, and against a read that misses a commit of its session.
+  it('passes the state of the session on', async () => {
+    const fleet = start();
+    const {x, run, state} = fleet;
+    const route = SESSION_CONFIGURATION.routes.get('wash-db') as DatabaseRoute;
+    const ownWrites = {...route, consistency: 'own-writes', maxAgeMs: 60_000};
+    state.configuration = {
+      ...SESSION_CONFIGURATION,
+      routes: new Map([['wash-db', ownWrites as DatabaseRoute]]),
+    };
+    fleet.setCallerConfiguration(state.configuration);
+    await run(READ);
+    x.group.member('a').applied = {term: 1, position: 50};
+    await run(
+      {kind: 'set', name: 'tz', value: 'utc'},
+      {
+        kind: 'prepare',
+        name: 'p',
+        statement: {access: 'write', shape: 'WRITE ? ?'},
+      },
+      {kind: 'execute', name: 'p', parameters: 'x y'},
+    );
+    x.group.primaryLease = {kind: 'denied', reason: 'proof-expired'};
+    await run(READ);
+    const [sent] = x.calls.slice(-1);
+    const members = ['a', 'b', 'c'].map(name => x.group.member(name).requests);
+    expect({members, last: {...sent, remainingMs: 0}}).toMatchSnapshot();
+  });
+
+  // Guards against a statement that runs after its key has moved, and against a
+  // refusal by an owner that does not have the newest configuration.
+  it.each([
+    ['moved', 2, new Map([['k1', 'trucks']])],
+    ['was withdrawn', 2, new Map()],
+    ['is newer than the configuration of the owner', 0, new Map()],
+  ])(
+    'checks the key at the owner: it %s',
+    async (unusedName, version, keys) => {
+      const fleet = start();
+      fleet.state.configuration = {...SESSION_CONFIGURATION, version, keys};
+      expect(await play(fleet, WRITE)).toMatchSnapshot();
+    },
+  );
+
+  // Guards against a read that waits for an owner which has gone dark.
+  it('hedges a read whose owner answers nothing', async () => {
+    const fleet = start();
+    fleet.x.mode = 'dark';
+    await fleet.run(READ);
+    await new Promise(resolve => setTimeout(resolve, 80));
+    expect(await play(fleet)).toMatchSnapshot();
+  });
+
   // Guards against a commit that is reported as rolled back although it may have
   // run, and against a transaction that goes on at another VM.
   it.each<[string, (fleet: Fleet) => void]>([
--- a/packages/gateway/src/testing/fake_owner.ts
+++ b/packages/gateway/src/testing/fake_owner.ts
@@ -1,7 +1,7 @@
 import {fail, ok} from '@pistachiorill/core';
 import type {Result, RuntimeConfiguration} from '@pistachiorill/core';
 import type {PeerError} from '@pistachiorill/peers';
-import {ask} from '@pistachiorill/tasks';
+import {ask, sleep} from '@pistachiorill/tasks';
 import {
   END_TRANSACTION_SCHEMA,
   EXECUTE_IN_SCHEMA,
@@ -27,11 +27,15 @@
   /** The owner does not receive the call. */
   | 'loses-calls'
   /** The owner receives the call, and its answer is lost. */
-  | 'loses-answers';
+  | 'loses-answers'
+  /** Calls stay without an answer for longer than a test. */
+  | 'dark';
 
 /** How long a lost call lasts, in place of the time limit of the call. */
 const LOST_AFTER_MS = 15;
 
+const DARK_FOR_MS = 500;
+
 /** An owner with fake members in the process of the test. */
 export class FakeOwner {
   readonly group: FakeGroup;
@@ -65,9 +69,15 @@
   }
 }
 
+/** What the calls to an owner arrive at. */
+export type OwnerEndpoint = Pick<FakeOwner, 'task' | 'mode' | 'calls'>;
+
 /** Calls fake owners through the encoding of the real calls. */
 export class FakeOwnerClient extends OwnerClient {
-  constructor(private readonly owners: ReadonlyMap<string, FakeOwner>) {
+  constructor(
+    private readonly owners: ReadonlyMap<string, OwnerEndpoint>,
+    private readonly delayMs: (owner: string) => number = () => 0,
+  ) {
     super();
   }
 
@@ -96,19 +106,22 @@
 
   private async send<T>(
     name: string,
-    tell: (to: FakeOwner, reply: {answer: (value: T) => void}) => void,
+    tell: (to: OwnerEndpoint, reply: {answer: (value: T) => void}) => void,
   ): Promise<Result<T, PeerError>> {
     const owner = this.owners.get(name);
     if (!owner || owner.mode === 'unreachable') {
       return fail({kind: 'unreachable', detail: 'no connection'});
     }
     const {mode} = owner;
+    const delayMs = this.delayMs(name);
+    if (delayMs > 0) await sleep(delayMs);
     if (mode === 'answers') {
       const answer = await ask<T>(reply => tell(owner, reply));
+      if (delayMs > 0) await sleep(delayMs);
       return ok(encoded(answer));
     }
     if (mode === 'loses-answers') await ask<T>(reply => tell(owner, reply));
-    await new Promise(resolve => setTimeout(resolve, LOST_AFTER_MS));
+    await sleep(mode === 'dark' ? DARK_FOR_MS : LOST_AFTER_MS);
     return fail({kind: 'no-answer', detail: 'no answer'});
   }
 }
--- a/packages/peers/src/__tests__/http_request.test.ts
+++ b/packages/peers/src/__tests__/http_request.test.ts
@@ -1,5 +1,6 @@
 import {Agent, createServer} from 'node:http';
-import type {AddressInfo, Socket} from 'node:net';
+import {Socket} from 'node:net';
+import type {AddressInfo} from 'node:net';
 import {afterEach, describe, expect, it} from 'vitest';
 import {TransportError, sendHttpRequest} from '../http_request.js';
 
@@ -12,13 +13,18 @@
   });
 
   /** A server whose open connections can go silent while new ones work. */
-  async function startServer() {
+  async function startServer(answerAfterMs = 0) {
     const open = new Set<Socket>();
     const silent = new Set<Socket>();
+    let next: 'answer' | 'close' = 'answer';
     const server = createServer((req, res) => {
+      if (next === 'close') {
+        req.socket.resetAndDestroy();
+        return;
+      }
       if (silent.has(req.socket)) return;
       open.add(req.socket);
-      res.end('answered');
+      setTimeout(() => res.end('answered'), answerAfterMs);
     });
     await new Promise<void>(r => server.listen(0, '127.0.0.1', r));
     const agent = new Agent({keepAlive: true, scheduling: 'lifo'});
@@ -47,6 +53,9 @@
     };
     return {
       send,
+      closeOnNextRequest: () => {
+        next = 'close';
+      },
       silenceOpenConnections: () => {
         for (const socket of open) silent.add(socket);
       },
@@ -69,4 +78,42 @@
     silenceOpenConnections();
     expect([await send(), await send()]).toMatchSnapshot();
   });
+
+  // Guards against a request that is reported as not sent, and sent again,
+  // although the server may have read it before it closed the connection.
+  it('reports a connection that is closed on its reuse', async () => {
+    const {send, closeOnNextRequest} = await startServer();
+    await send();
+    closeOnNextRequest();
+    expect(await send()).toMatch(/^no-answer/);
+  });
+
+  // Guards against the wait for a whole timeout when a server accepts nothing.
+  it('ends the wait for a connection', async () => {
+    const agent = new Agent();
+    const socket = new Socket();
+    Object.defineProperty(socket, 'connecting', {value: true});
+    agent.createConnection = () => socket;
+    const sent = sendHttpRequest({
+      agent,
+      host: '127.0.0.1',
+      port: 1,
+      path: '/',
+      body: '',
+      timeoutMs: 60_000,
+      connectTimeoutMs: 10,
+      signal: undefined,
+    });
+    await expect(sent).rejects.toMatchObject({kind: 'unreachable'});
+  });
+
+  // Guards against calls that wait for each other on too few connections, and
+  // against a pause between the parts of a request (Nagle's algorithm).
+  it('sends parallel requests at once', async () => {
+    const {send} = await startServer(40);
+    const startedAt = performance.now();
+    const answers = await Promise.all(Array.from({length: 30}, () => send()));
+    expect(new Set(answers)).toEqual(new Set(['answered']));
+    expect(performance.now() - startedAt).toBeLessThan(30 * 40);
+  });
 });
