Choose owners also where members are in data centres without VMs

Those members are now served by the owners of a data centre that the hash selects, near ones first.

The VMs keep the owners' shares of connections by the same rule.

--- a/packages/core/src/owners/__tests__/owners.test.ts
+++ b/packages/core/src/owners/__tests__/owners.test.ts
@@ -79,6 +79,8 @@
       {},
     ],
     ['primary without VMs', {need: 'primary'}, {primaryDataCentre: 'us-9'}, {}],
+    ['members without VMs', {}, {memberDataCentres: ['us-8', 'eu-9']}, {}],
+    ['no VMs', {}, {owners: new Map()}, {}],
     ['read, no member here', {}, {}, {}],
     ['read, member here', {}, {dataCentre: 'us-2'}, {}],
     ['read, no member near', {}, {memberDataCentres: ['us-1', 'us-2']}, {}],
@@ -178,6 +180,15 @@
         [20, answer],
       ],
     ],
+    [
+      'answers after its restart',
+      [
+        [0, call],
+        [0, (health, now) => afterOwnerRefusal(health, 'stopping', now)],
+        [3_100, call],
+        [3_101, answer],
+      ],
+    ],
     ['has too many calls', Array.from({length: 20}, (): Step => [0, call])],
   ])('%s', (unusedName, steps) => {
     let health = INITIAL_OWNER_HEALTH;
--- a/packages/core/src/owners/owner_health.ts
+++ b/packages/core/src/owners/owner_health.ts
@@ -60,7 +60,10 @@
   now: number,
 ): OwnerHealth {
   const {avoid} = health;
-  const isKept = avoid?.reason === 'stopping' || avoid?.reason === 'not-ready';
+  const isKept =
+    avoid !== undefined &&
+    now < avoid.until &&
+    (avoid.reason === 'stopping' || avoid.reason === 'not-ready');
   return {
     outstanding: health.outstanding - 1,
     silentSince: undefined,
--- a/packages/core/src/owners/owner_targets.ts
+++ b/packages/core/src/owners/owner_targets.ts
@@ -65,20 +65,45 @@
   const {regions} = query;
   const isAllowed = (name: string): boolean =>
     regions.length === 0 || regions.includes(regionOf(name));
-  if (query.need === 'primary' && primaryDataCentre !== undefined) {
-    const isPermitted =
-      isAllowed(primaryDataCentre) ||
-      regionOf(primaryDataCentre) === regionOf(dataCentre);
-    if (!isPermitted) return undefined;
-    if (owners.has(primaryDataCentre)) return primaryDataCentre;
-  }
-  const candidates = places.memberDataCentres.filter(
-    name => owners.has(name) && isAllowed(name),
-  );
+  const of =
+    query.need === 'primary' && primaryDataCentre !== undefined
+      ? primaryDataCentre
+      : nearestOf(
+          dataCentre,
+          places.memberDataCentres.filter(isAllowed),
+          regionOf,
+        );
+  const chosen =
+    of === undefined ? undefined : ownerDataCentreOf(of, owners, regionOf);
+  const isPermitted =
+    chosen !== undefined &&
+    (isAllowed(chosen) || regionOf(chosen) === regionOf(dataCentre));
+  return isPermitted ? chosen : undefined;
+}
+
+/**
+ * Returns the data centre whose owners serve the members of a data centre: the
+ * same one, or one nearby if it has no VMs.
+ */
+export function ownerDataCentreOf(
+  dataCentre: string,
+  owners: OwnersByDataCentre,
+  regionOf: (dataCentre: string) => string,
+): string | undefined {
+  return owners.has(dataCentre)
+    ? dataCentre
+    : nearestOf(dataCentre, [...owners.keys()], regionOf);
+}
+
+/** The same data centre, or else one that its hash selects, near ones first. */
+function nearestOf(
+  dataCentre: string,
+  candidates: readonly string[],
+  regionOf: (dataCentre: string) => string,
+): string | undefined {
   if (candidates.includes(dataCentre)) return dataCentre;
-  const isNear = (name: string): boolean =>
-    regionOf(name) === regionOf(dataCentre);
-  const near = candidates.filter(isNear);
-  // The hash spreads data centres without a member over the others.
+  const near = candidates.filter(
+    name => regionOf(name) === regionOf(dataCentre),
+  );
   return rendezvousOrder(dataCentre, near.length > 0 ? near : candidates)[0];
 }
--- a/packages/gateway/src/daemon/__tests__/graceful_stop.test.ts
+++ b/packages/gateway/src/daemon/__tests__/graceful_stop.test.ts
@@ -32,10 +32,12 @@
   readonly endsOn: SessionMessage['kind'] | 'never';
   readonly sendMs: number;
   readonly leaveMs: number;
+  /** The message on which the owner's task ends its last statement. */
+  readonly ownerEndsOn?: 'abort-transactions' | 'never';
 }
 
 /** Stops a VM with one session; returns what happened, in order. */
-async function stop({endsOn, sendMs, leaveMs}: Case) {
+async function stop({endsOn, sendMs, leaveMs, ownerEndsOn}: Case) {
   const startedAt = Date.now();
   const events: string[] = [];
   const record = (text: string): void => {
@@ -56,11 +58,18 @@
     },
   };
   sessions.add(session);
+  const owner = {
+    isBusy: ownerEndsOn !== undefined,
+    tell({kind}: {kind: string}) {
+      record(`owner: ${kind}`);
+      if (kind === ownerEndsOn) owner.isBusy = false;
+    },
+  };
   const stopped = stopGracefully({
     graceMs: GRACE_MS,
     sessions,
     callers: new FakeCallerServer(() => after(sendMs, 'answers sent')),
-    owner: {isBusy: false, tell: ({kind}) => record(`owner: ${kind}`)},
+    owner,
     closeDatabases: () => record('databases closed'),
     leaveFleet: () => after(leaveMs, 'left the fleet'),
     clock: () => Date.now(),
@@ -87,6 +96,19 @@
       'exits in time if neither callers nor the store answer',
       {endsOn: 'never', sendMs: GRACE_MS, leaveMs: GRACE_MS},
     ],
+    [
+      'keeps the databases for the transactions of other VMs',
+      {
+        endsOn: 'drain',
+        sendMs: 10,
+        leaveMs: 10,
+        ownerEndsOn: 'abort-transactions',
+      },
+    ],
+    [
+      'closes the databases in time for statements of other VMs',
+      {endsOn: 'drain', sendMs: 10, leaveMs: 10, ownerEndsOn: 'never'},
+    ],
   ])('%s', async (unusedName, item) => {
     expect(await stop(item)).toMatchSnapshot();
   });
--- a/packages/gateway/src/daemon/database_set.ts
+++ b/packages/gateway/src/daemon/database_set.ts
@@ -5,7 +5,6 @@
 } from '@pistachiorill/core';
 import type {Clock} from '@pistachiorill/tasks';
 import type {Logger} from '@pistachiorill/telemetry';
-import type {OwnerShare} from '../database/database_message.js';
 import {DatabaseTask} from '../database/database_task.js';
 import type {OwnerDirectory} from '../owners/owner_directory.js';
 import {primaryLeaseOf} from '../fleet/fleet_view.js';
@@ -181,17 +180,9 @@
           members: this.membersOf(group),
           dataCentresOut: operators.dataCentresOut,
           vmCount: this.vmCount,
-          owners: this.ownersOf(group),
+          owners: this.deps.owners.shareOf(group),
         },
       });
     }
   }
-
-  private ownersOf(group: string): OwnerShare | undefined {
-    const byDataCentre = this.deps.owners.ownersOf(group);
-    if (!byDataCentre) return undefined;
-    const {name, data_centre: dataCentre} = this.deps.settings.vm;
-    const isOwner = byDataCentre.get(dataCentre)?.includes(name) === true;
-    return {byDataCentre, role: isOwner ? 'owner' : 'other'};
-  }
 }
--- a/packages/gateway/src/database/database_message.ts
+++ b/packages/gateway/src/database/database_message.ts
@@ -1,7 +1,6 @@
 import type {
   GroupSettings,
   LogPosition,
-  OwnersByDataCentre,
   PositionSamples,
   PrimaryObservation,
   Result,
@@ -33,9 +32,15 @@
 
 /** How the owners of a group share the connections of its members. */
 export interface OwnerShare {
-  readonly byDataCentre: OwnersByDataCentre;
   /** Whether this VM is one of them. */
   readonly role: 'owner' | 'other';
+  /** The number of all owners. */
+  readonly count: number;
+  /** The owners that serve the members of a data centre. */
+  readonly near: (dataCentre: string) => {
+    readonly count: number;
+    readonly self: 'included' | 'not-included';
+  };
 }
 
 /** How a VM stops using a primary. */
--- a/packages/gateway/src/database/member_shares.ts
+++ b/packages/gateway/src/database/member_shares.ts
@@ -21,7 +21,6 @@
 export function poolLimitsOf(
   listed: ListedMember,
   view: GroupView,
-  dataCentre: string,
 ): MemberPoolLimits {
   const connections = Math.max(
     1,
@@ -32,7 +31,7 @@
   if (!owners) {
     return {connections, share: idleShareOf(connections, vmCount), statements};
   }
-  const place = placeOf(listed, owners, dataCentre);
+  const place = placeOf(listed, owners);
   const share = ownerIdleShareOf(connections, place);
   const part =
     place.kind === 'owner-nearby'
@@ -44,24 +43,21 @@
 
 /** What a VM is to a member whose group has owners. */
 type OwnerPlace =
-  /** One of the owners in the member's data centre. */
+  /** One of the owners that serve the member's data centre. */
   | {readonly kind: 'owner-nearby'; readonly owners: number}
-  /** One of the owners in other data centres. */
+  /** One of the other owners. */
   | {readonly kind: 'owner-elsewhere'; readonly owners: number}
   | {readonly kind: 'other'};
 
 function placeOf(
-  listed: ListedMember,
-  {byDataCentre, role}: OwnerShare,
-  dataCentre: string,
+  {dataCentre}: ListedMember,
+  {role, count, near}: OwnerShare,
 ): OwnerPlace {
   if (role === 'other') return {kind: 'other'};
-  const nearby = byDataCentre.get(listed.dataCentre)?.length ?? 0;
-  if (listed.dataCentre === dataCentre) {
-    return {kind: 'owner-nearby', owners: Math.max(1, nearby)};
-  }
-  const all = [...byDataCentre.values()].flat().length;
-  return {kind: 'owner-elsewhere', owners: all - nearby};
+  const nearby = near(dataCentre);
+  return nearby.self === 'included'
+    ? {kind: 'owner-nearby', owners: nearby.count}
+    : {kind: 'owner-elsewhere', owners: count - nearby.count};
 }
 
 /**
@@ -92,10 +88,9 @@
 export function warmupShareOf(
   listed: ListedMember,
   {owners, vmCount}: GroupView,
-  dataCentre: string,
 ): number {
   if (!owners) return 1 / vmCount;
-  const place = placeOf(listed, owners, dataCentre);
+  const place = placeOf(listed, owners);
   return place.kind === 'owner-nearby'
     ? OWNERS_WARMUP_SHARE / place.owners
     : OTHERS_WARMUP_SHARE / vmCount;
--- a/packages/gateway/src/database/member_table.ts
+++ b/packages/gateway/src/database/member_table.ts
@@ -72,8 +72,7 @@
     view: GroupView,
     now: number,
   ): void {
-    const {dataCentre} = this.deps.vm;
-    const limits = poolLimitsOf(listed, view, dataCentre);
+    const limits = poolLimitsOf(listed, view);
     const entry =
       this.entries.get(listed.member) ?? this.addEntry(listed, limits);
     entry.listed = listed;
@@ -82,7 +81,7 @@
     entry.leavingSince =
       listed.state === 'leaving' ? (entry.leavingSince ?? now) : undefined;
     entry.warmup.configure(
-      view.settings.warmupPerSecond * warmupShareOf(listed, view, dataCentre),
+      view.settings.warmupPerSecond * warmupShareOf(listed, view),
       now + listed.remainingWarmupMs,
     );
     if (!this.accepts(listed)) entry.pool.drain();
--- a/packages/gateway/src/owners/owner_directory.ts
+++ b/packages/gateway/src/owners/owner_directory.ts
@@ -1,6 +1,7 @@
 import {
   hasOwners,
   isRevoked,
+  ownerDataCentreOf,
   ownerTargets,
   selectOwners,
 } from '@pistachiorill/core';
@@ -9,6 +10,7 @@
   OwnerTarget,
   OwnersByDataCentre,
 } from '@pistachiorill/core';
+import type {OwnerShare} from '../database/database_message.js';
 import {dataCentresOf} from '../fleet/fleet_rows.js';
 import type {FleetRows} from '../fleet/fleet_rows.js';
 import type {ListedMember} from '../ports/member_directory.js';
@@ -65,6 +67,26 @@
     return owners;
   }
 
+  /** How the owners of a group share the connections of its members. */
+  shareOf(group: string): OwnerShare | undefined {
+    const owners = this.ownersOf(group);
+    if (!owners) return undefined;
+    const {vm, regionOf} = this.deps;
+    const all = [...owners.values()].flat();
+    return {
+      role: all.includes(vm.name) ? 'owner' : 'other',
+      count: all.length,
+      near: dataCentre => {
+        const near = ownerDataCentreOf(dataCentre, owners, regionOf);
+        const names = owners.get(near ?? '') ?? [];
+        return {
+          count: names.length,
+          self: names.includes(vm.name) ? 'included' : 'not-included',
+        };
+      },
+    };
+  }
+
   /** Returns where to run a statement, in order. */
   targets(
     statement: RoutedStatement,
