Weight the choice of owners by the machines' processors

Most VMs of large deployments have a third of a core, a few have four times as much. Owners are now chosen in proportion to the processors that the settings tell; without them all VMs weigh the same and the choice is as before.

Statements at a VM whose row is gone have 10 s to end: the store may only have gone back to a copy without the row, and their outcome would be unknown.

--- a/packages/core/src/common/rendezvous.ts
+++ b/packages/core/src/common/rendezvous.ts
@@ -14,3 +14,23 @@
     .sort((a, b) => b.score - a.score || (a.name < b.name ? -1 : 1))
     .map(entry => entry.name);
 }
+
+const HASH_RANGE = 2 ** 32;
+
+/**
+ * Orders candidates as `rendezvousOrder` does, where a candidate of twice the
+ * weight is the first one for twice as many keys. Equal weights give the same
+ * order.
+ */
+export function weightedRendezvousOrder(
+  key: string,
+  weights: ReadonlyMap<string, number>,
+): string[] {
+  return [...weights]
+    .map(([name, weight]) => {
+      const hash = murmurhash.v3(`${key}\u0000${name}`);
+      return {name, score: -Math.log((hash + 0.5) / HASH_RANGE) / weight};
+    })
+    .sort((a, b) => a.score - b.score || (a.name < b.name ? -1 : 1))
+    .map(entry => entry.name);
+}
--- a/packages/core/src/owners/__tests__/owners.test.ts
+++ b/packages/core/src/owners/__tests__/owners.test.ts
@@ -15,13 +15,17 @@
 import {ownerTargets} from '../owner_targets.js';
 import type {OwnerPlaces, OwnerQuery} from '../owner_targets.js';
 import {hasOwners, selectOwners} from '../select_owners.js';
+import type {OwnerVm} from '../select_owners.js';
 
 /** A fleet over four data centres in two regions. */
-function fleet(count: number): Map<string, string> {
+function fleet(count: number, largeEvery = 0): Map<string, OwnerVm> {
   return new Map(
     Array.from({length: count}, (unused, index) => [
       `vm-${index}`,
-      ['eu-1', 'eu-2', 'us-1', 'us-2'][index % 4] ?? '',
+      {
+        dataCentre: ['eu-1', 'eu-2', 'us-1', 'us-2'][index % 4] ?? '',
+        weight: largeEvery > 0 && index % largeEvery === 0 ? 4 : 1,
+      },
     ]),
   );
 }
@@ -64,6 +68,20 @@
   });
 });
 
+describe('selectOwners by weight', () => {
+  // Guards against owners on the slowest machines while faster ones are idle.
+  it('prefers VMs with more processors in proportion', () => {
+    const vms = fleet(80, 10);
+    const groups = Array.from({length: 500}, (unused, index) => `g${index}`);
+    const first = groups.flatMap(group =>
+      [...selectOwners(group, vms).values()].map(([vm = '']) => vm),
+    );
+    const large = first.filter(vm => vms.get(vm)?.weight === 4).length;
+    // In two of four data centres 4 of 20 VMs have the weight 4.
+    expect(large / (first.length / 2)).toBeCloseTo(16 / (16 + 16), 1);
+  });
+});
+
 describe('ownerTargets', () => {
   // Guards against a statement that leaves its regions, and against one that
   // finds no VM.
--- a/packages/core/src/owners/select_owners.ts
+++ b/packages/core/src/owners/select_owners.ts
@@ -1,5 +1,5 @@
 import {MAX_VMS_WITHOUT_SELECTION} from '../common/representatives.js';
-import {rendezvousOrder} from '../common/rendezvous.js';
+import {weightedRendezvousOrder} from '../common/rendezvous.js';
 
 /** The number of VMs per data centre that own a group's connections. */
 const OWNERS_PER_DATA_CENTRE = 2;
@@ -20,16 +20,25 @@
   );
 }
 
-/** Chooses the VMs of each data centre that own a group's connections. */
+/** A VM that may be an owner. */
+export interface OwnerVm {
+  readonly dataCentre: string;
+  /** Its part of a processor, as compared with the other VMs. */
+  readonly weight: number;
+}
+
+/**
+ * Chooses the VMs of each data centre that own a group's connections, those with
+ * more processors more often.
+ */
 export function selectOwners(
   group: string,
-  dataCentreByVm: ReadonlyMap<string, string>,
+  vms: ReadonlyMap<string, OwnerVm>,
 ): OwnersByDataCentre {
   const owners = new Map<string, string[]>();
-  for (const vm of rendezvousOrder(`owner/${group}`, [
-    ...dataCentreByVm.keys(),
-  ])) {
-    const dataCentre = dataCentreByVm.get(vm) ?? '';
+  const weights = new Map([...vms].map(([vm, {weight}]) => [vm, weight]));
+  for (const vm of weightedRendezvousOrder(`owner/${group}`, weights)) {
+    const dataCentre = vms.get(vm)?.dataCentre ?? '';
     const chosen = owners.get(dataCentre) ?? [];
     if (chosen.length < OWNERS_PER_DATA_CENTRE) chosen.push(vm);
     owners.set(dataCentre, chosen);
--- a/packages/gateway/src/daemon/gateway_daemon.ts
+++ b/packages/gateway/src/daemon/gateway_daemon.ts
@@ -41,6 +41,7 @@
 import {GatewayMetrics} from '../telemetry/gateway_metrics.js';
 import {DaemonPeerHandlers} from './daemon_peer_handlers.js';
 import type {GatewayPorts, OpenPorts} from './gateway_ports.js';
+import {usableProcessors} from './gateway_settings.js';
 import type {GatewaySettings} from './gateway_settings.js';
 import {stopGracefully} from './graceful_stop.js';
 import {serveMetrics} from './http_endpoints.js';
@@ -100,7 +101,12 @@
     };
     const {name: vm, data_centre: dataCentre} = settings.vm;
     const incarnation = randomUUID();
-    const entry = {peers: settings.listen.peers, dataCentre, incarnation};
+    const entry = {
+      peers: settings.listen.peers,
+      dataCentre,
+      incarnation,
+      processors: usableProcessors(settings.vm),
+    };
     const view = (): FleetView => this.currentView();
     const newWatcher = (purpose: WatchedState): WatcherChoice =>
       newWatcherChoice(settings.vm, view, {peers, purpose, log});
--- a/packages/gateway/src/daemon/gateway_settings.ts
+++ b/packages/gateway/src/daemon/gateway_settings.ts
@@ -50,6 +50,10 @@
     name: NAME,
     data_centre: NAME,
     region: z.string().default(''),
+    /** The part of each processor that the VM may use; 0 if not known. */
+    processor_share: optionalNumber(z.number().min(0)),
+    /** The number of processors; 0 if not known. */
+    processors: optionalNumber(z.number().min(0)),
   }),
   /** The region of each data centre, by the data centre's name. */
   regions: z.record(z.string(), z.string()).default({}),
@@ -72,6 +76,15 @@
 /** The settings of one gateway process. */
 export type GatewaySettings = z.infer<typeof SETTINGS_SCHEMA>;
 
+/** Returns how many processors a VM may use, if its settings tell it. */
+export function usableProcessors({
+  processor_share: share,
+  processors,
+}: GatewaySettings['vm']): number | undefined {
+  if (!share && !processors) return undefined;
+  return (share || 1) * (processors || 1);
+}
+
 /** Validates the sections of a settings file; returns all errors at once. */
 export function checkGatewaySettings(
   sections: unknown,
--- a/packages/gateway/src/fleet/fleet_rows.ts
+++ b/packages/gateway/src/fleet/fleet_rows.ts
@@ -43,11 +43,13 @@
   peers: ADDRESS_SCHEMA,
   dataCentre: z.string(),
   incarnation: z.string(),
+  processors: z.number().positive().optional(),
 });
 
 /**
  * A VM's registration: the address where it listens for its peers, its data
- * centre, and an identifier of its current process (`incarnation`).
+ * centre, an identifier of its current process (`incarnation`), and the number
+ * of processors that it may use, if its settings tell it.
  */
 export type VmRegistration = z.infer<typeof VM_SCHEMA>;
 
--- a/packages/gateway/src/owners/__tests__/owner_load.test.ts
+++ b/packages/gateway/src/owners/__tests__/owner_load.test.ts
@@ -87,7 +87,10 @@
       DATA_CENTRES[index % DATA_CENTRES.length] ?? '',
     ]),
   );
-  const byDataCentre = selectOwners('wash', vms);
+  const byDataCentre = selectOwners(
+    'wash',
+    new Map([...vms].map(([vm, dataCentre]) => [vm, {dataCentre, weight: 1}])),
+  );
   const endpoints = new Map<string, OwnerEndpoint>();
   const tasks: DatabaseTask[] = [];
   const filters = [...vms].map(([vm, dataCentre]) => {
--- a/packages/gateway/src/owners/owner_directory.ts
+++ b/packages/gateway/src/owners/owner_directory.ts
@@ -8,10 +8,10 @@
 import type {
   OwnerAvailability,
   OwnerTarget,
+  OwnerVm,
   OwnersByDataCentre,
 } from '@pistachiorill/core';
 import type {OwnerShare} from '../database/database_message.js';
-import {dataCentresOf} from '../fleet/fleet_rows.js';
 import type {FleetRows} from '../fleet/fleet_rows.js';
 import type {ListedMember} from '../ports/member_directory.js';
 import {requirementOf} from '../session/place_filter.js';
@@ -31,25 +31,25 @@
 /** The owners of the groups, as they follow from the shared rows. */
 export class OwnerDirectory {
   private rows: FleetRows | undefined;
-  private known: ReadonlyMap<string, string> = new Map();
+  private known: ReadonlyMap<string, OwnerVm> = new Map();
   private readonly selected = new Map<string, OwnersByDataCentre>();
 
   constructor(private readonly deps: OwnerDirectoryDependencies) {}
 
   /**
-   * The VMs that may be owners and their data centres; the same object as long
-   * as they stay the same. A VM that is presumed lost is none of them.
+   * The VMs that may be owners; the same object as long as they stay the same. A VM that is presumed lost is none of them.
    */
-  get candidates(): ReadonlyMap<string, string> {
+  get candidates(): ReadonlyMap<string, OwnerVm> {
     const rows = this.deps.rows();
     if (rows === this.rows) return this.known;
     this.rows = rows;
     const shares = rows.shares?.value;
-    const current = new Map(
-      [...dataCentresOf(rows)].filter(
-        ([vm]) => !(shares && isRevoked(shares, vm)),
-      ),
-    );
+    const current = new Map<string, OwnerVm>();
+    for (const [vm, {value}] of rows.vms) {
+      if (shares && isRevoked(shares, vm)) continue;
+      const {dataCentre, processors} = value;
+      current.set(vm, {dataCentre, weight: processors ?? 1});
+    }
     if (isSame(current, this.known)) return this.known;
     this.known = current;
     this.selected.clear();
@@ -119,8 +119,14 @@
 }
 
 function isSame(
-  a: ReadonlyMap<string, string>,
-  b: ReadonlyMap<string, string>,
+  a: ReadonlyMap<string, OwnerVm>,
+  b: ReadonlyMap<string, OwnerVm>,
 ): boolean {
-  return a.size === b.size && [...a].every(([vm, dc]) => b.get(vm) === dc);
+  return (
+    a.size === b.size &&
+    [...a].every(([vm, {dataCentre, weight}]) => {
+      const other = b.get(vm);
+      return other?.dataCentre === dataCentre && other.weight === weight;
+    })
+  );
 }
--- a/packages/gateway/src/peers/peer_set.ts
+++ b/packages/gateway/src/peers/peer_set.ts
@@ -62,6 +62,9 @@
  */
 const OWNER_CONNECT_TIMEOUT_MS = 250;
 
+/** Statements at a VM that is not registered any more may last this long. */
+const STATEMENTS_END_MS = 10_000;
+
 /** Calls the remote procedures of the other registered VMs. */
 export class PeerSet extends OwnerClient {
   private readonly peers = new Map<string, Peer>();
@@ -80,7 +83,13 @@
     const listed = new Map(addresses.map(item => [item.vm, item.address]));
     for (const [vm, peer] of this.peers) {
       if (listed.get(vm) === peer.address) continue;
-      destroyConnections(peer);
+      peer.agent.destroy();
+      // The store may only have gone back to a copy without the VM's row; the
+      // outcome of the statements under way would be lost.
+      setTimeout(
+        () => peer.statements.agent.destroy(),
+        STATEMENTS_END_MS,
+      ).unref();
       this.peers.delete(vm);
     }
     for (const [vm, address] of listed) {
@@ -224,7 +233,10 @@
 
   /** Closes all connections to peers. */
   close(): void {
-    for (const peer of this.peers.values()) destroyConnections(peer);
+    for (const {agent, statements} of this.peers.values()) {
+      agent.destroy();
+      statements.agent.destroy();
+    }
     this.peers.clear();
   }
 
@@ -273,8 +285,3 @@
   });
   return {agent, client};
 }
-
-function destroyConnections({agent, statements}: Peer): void {
-  agent.destroy();
-  statements.agent.destroy();
-}
