Probe an owner before it counts as silent

A statement that waits for its member made its owner look silent after 0.4 s, and each read that took longer than its hedge delay was sent to a second VM as well. An owner with calls to answer is probed now, and counts as silent only if it does not answer the probe. 'waits for an owner whose members are slow' ran the read twice before.

--- a/packages/core/src/owners/owner_health.ts
+++ b/packages/core/src/owners/owner_health.ts
@@ -98,6 +98,26 @@
   return health.answeredAt >= sentAt ? ended : avoided(ended, reason, now);
 }
 
+/** A probe was answered: calls without an answer wait for their members. */
+export function afterProbeAnswer(
+  health: OwnerHealth,
+  now: number,
+): OwnerHealth {
+  const {outstanding} = health;
+  const answered = afterOwnerAnswer(health, now);
+  const silentSince = outstanding > 0 ? now : undefined;
+  return {...answered, outstanding, silentSince};
+}
+
+/** A probe that was sent at `sentAt` got no answer. */
+export function afterProbeFailure(
+  health: OwnerHealth,
+  sentAt: number,
+  now: number,
+): OwnerHealth {
+  return health.answeredAt >= sentAt ? health : avoided(health, 'silent', now);
+}
+
 /** Avoids an owner that has answered nothing for too long. */
 export function checkSilence(health: OwnerHealth, now: number): OwnerHealth {
   const {silentSince} = health;
--- a/packages/gateway/src/owners/__tests__/forwarding.test.ts
+++ b/packages/gateway/src/owners/__tests__/forwarding.test.ts
@@ -171,7 +171,17 @@
     const fleet = start();
     fleet.x.mode = 'dark';
     await fleet.run(READ);
-    await new Promise(resolve => setTimeout(resolve, 80));
+    await new Promise(resolve => setTimeout(resolve, 300));
+    expect(await play(fleet)).toMatchSnapshot();
+  });
+
+  // Guards against a second attempt, at another VM, of each statement that waits
+  // for its member, which multiplied the load of an overloaded group.
+  it('waits for an owner whose members are slow', async () => {
+    const fleet = start();
+    fleet.x.mode = 'slow';
+    await fleet.run(READ);
+    await new Promise(resolve => setTimeout(resolve, 300));
     expect(await play(fleet)).toMatchSnapshot();
   });
 
--- a/packages/gateway/src/owners/forward_filter.ts
+++ b/packages/gateway/src/owners/forward_filter.ts
@@ -106,20 +106,20 @@
   }
 
   /**
-   * Waits until an attempt ends, or until the owner has answered nothing at all
-   * for the time after which a read is hedged. The owner itself hedges between
-   * members, so that an owner with a queue is not asked twice.
+   * Waits until an attempt ends, or until the owner answers nothing at all. The
+   * owner itself hedges between members, so that one with a queue is not asked
+   * twice.
    */
   private async isSilent(
     {route}: RoutedStatement,
     owner: string,
     attempt: Promise<Attempt>,
   ): Promise<boolean> {
-    const {clock, calls} = this.deps;
+    const {calls, clock} = this.deps;
     const hedgeMs = hedgeDelayMs(route.targetMs);
     let since = clock();
     while ((await Promise.race([attempt, sleep(hedgeMs)])) === undefined) {
-      if (!calls.hasAnsweredSince(owner, since)) return true;
+      if (!(await calls.isAnswering(owner, since))) return true;
       since = clock();
     }
     return false;
--- a/packages/gateway/src/owners/owner_calls.ts
+++ b/packages/gateway/src/owners/owner_calls.ts
@@ -4,6 +4,8 @@
   afterOwnerAnswer,
   afterOwnerFailure,
   afterOwnerRefusal,
+  afterProbeAnswer,
+  afterProbeFailure,
   availabilityOf,
   checkSilence,
 } from '@pistachiorill/core';
@@ -14,6 +16,7 @@
   Result,
 } from '@pistachiorill/core';
 import type {PeerError} from '@pistachiorill/peers';
+import {sleep} from '@pistachiorill/tasks';
 import type {Clock} from '@pistachiorill/tasks';
 import type {Logger} from '@pistachiorill/telemetry';
 import type {SessionRefusal} from '../ports/caller_link.js';
@@ -22,6 +25,13 @@
 import type {ForwardAnswer} from './forward_schema.js';
 import type {OwnerClient} from './owner_client.js';
 
+/**
+ * An owner with calls to answer is probed at this interval: a statement may wait
+ * for its member for long, which says nothing about the owner.
+ */
+const PROBE_INTERVAL_MS = 200;
+const PROBE_TIMEOUT_MS = 200;
+
 /** What a forwarded statement came to. */
 export type ForwardResult =
   | {readonly kind: 'done'; readonly answer: MemberAnswer}
@@ -44,6 +54,8 @@
 /** Calls the owners and keeps what this VM has observed of each. */
 export class OwnerCalls {
   private readonly health = new Map<string, OwnerHealth>();
+  /** The probes that are under way. */
+  private readonly probes = new Map<string, Promise<boolean>>();
 
   constructor(private readonly deps: OwnerCallDependencies) {}
 
@@ -59,9 +71,14 @@
     return availability;
   }
 
-  /** Whether an owner has answered any call since a time. */
-  hasAnsweredSince(owner: string, at: number): boolean {
-    return this.healthOf(owner).answeredAt >= at;
+  /** Whether an owner answers: a call since `since`, or else a probe. */
+  async isAnswering(owner: string, since: number): Promise<boolean> {
+    if (this.healthOf(owner).answeredAt >= since) return true;
+    const known = this.probes.get(owner);
+    if (known) return known;
+    const probe = this.probe(owner).finally(() => this.probes.delete(owner));
+    this.probes.set(owner, probe);
+    return probe;
   }
 
   /** Makes a call that runs a statement, and records how it ended. */
@@ -73,7 +90,9 @@
     const sentAt = clock();
     this.update(owner, afterCall(this.healthOf(owner), sentAt));
     metrics.forwarded();
-    const result = await send(client);
+    const call = send(client);
+    void this.probeUntilEnded(owner, call);
+    const result = await call;
     const health = this.healthOf(owner);
     const now = clock();
     if (!result.ok) {
@@ -107,6 +126,37 @@
     return {kind: 'done', answer: {rows, outcome, transaction, applied}};
   }
 
+  /** Probes an owner while a call waits, unless it answers others. */
+  private async probeUntilEnded(
+    owner: string,
+    call: Promise<unknown>,
+  ): Promise<void> {
+    let state: 'pending' | 'ended' = 'pending';
+    const end = (): void => {
+      state = 'ended';
+    };
+    const ended = call.then(end, end);
+    await Promise.race([ended, sleep(PROBE_INTERVAL_MS)]);
+    while (state === 'pending') {
+      await this.isAnswering(owner, this.deps.clock() - PROBE_INTERVAL_MS);
+      await Promise.race([ended, sleep(PROBE_INTERVAL_MS)]);
+    }
+  }
+
+  private async probe(owner: string): Promise<boolean> {
+    const {clock, client} = this.deps;
+    const sentAt = clock();
+    const {ok: isAnswered} = await client.ping(owner, PROBE_TIMEOUT_MS);
+    const health = this.healthOf(owner);
+    this.update(
+      owner,
+      isAnswered
+        ? afterProbeAnswer(health, clock())
+        : afterProbeFailure(health, sentAt, clock()),
+    );
+    return isAnswered;
+  }
+
   private healthOf(owner: string): OwnerHealth {
     return this.health.get(owner) ?? INITIAL_OWNER_HEALTH;
   }
--- a/packages/gateway/src/owners/owner_client.ts
+++ b/packages/gateway/src/owners/owner_client.ts
@@ -21,6 +21,11 @@
     req: ExecuteInRequest,
     timeoutMs: number,
   ): Promise<Result<ForwardAnswer, PeerError>>;
+  /** Checks whether an owner answers, without any work. */
+  abstract ping(
+    owner: string,
+    timeoutMs: number,
+  ): Promise<Result<void, PeerError>>;
   /** Rolls back a transaction that the owner holds. */
   abstract endTransaction(
     owner: string,
--- a/packages/gateway/src/testing/fake_owner.ts
+++ b/packages/gateway/src/testing/fake_owner.ts
@@ -29,12 +29,15 @@
   /** The owner receives the call, and its answer is lost. */
   | 'loses-answers'
   /** Calls stay without an answer for longer than a test. */
-  | 'dark';
+  | 'dark'
+  /** Statements wait for their members; probes are answered. */
+  | 'slow';
 
 /** How long a lost call lasts, in place of the time limit of the call. */
 const LOST_AFTER_MS = 15;
 
 const DARK_FOR_MS = 500;
+const SLOW_FOR_MS = 200;
 
 /** An owner with fake members in the process of the test. */
 export class FakeOwner {
@@ -97,6 +100,16 @@
     });
   }
 
+  override async ping(
+    owner: string,
+    timeoutMs: number,
+  ): Promise<Result<void, PeerError>> {
+    const mode = this.owners.get(owner)?.mode;
+    if (mode === 'answers' || mode === 'slow') return ok(undefined);
+    await sleep(timeoutMs);
+    return fail({kind: 'no-answer', detail: 'no answer'});
+  }
+
   override endTransaction(owner: string, sent: EndTransactionRequest) {
     return this.send<void>(owner, (to, reply) => {
       const req = END_TRANSACTION_SCHEMA.parse(encoded(sent));
@@ -115,7 +128,8 @@
     const {mode} = owner;
     const delayMs = this.delayMs(name);
     if (delayMs > 0) await sleep(delayMs);
-    if (mode === 'answers') {
+    if (mode === 'slow') await sleep(SLOW_FOR_MS);
+    if (mode === 'answers' || mode === 'slow') {
       const answer = await ask<T>(reply => tell(owner, reply));
       if (delayMs > 0) await sleep(delayMs);
       return ok(encoded(answer));
