--- a/packages/gateway/src/daemon/gateway_daemon.ts
+++ b/packages/gateway/src/daemon/gateway_daemon.ts
@@ -2,9 +2,11 @@
 import type {Server} from 'node:http';
 import {Random} from '@pistachiorill/core';
 import {PeerServer} from '@pistachiorill/peers';
+import type {RuntimeConfiguration} from '@pistachiorill/core';
 import {Pipeline, ask} from '@pistachiorill/tasks';
 import type {Logger} from '@pistachiorill/telemetry';
 import {SuspensionClock, SystemClocks} from '../clock/suspension_clock.js';
+import type {DatabaseTask} from '../database/database_task.js';
 import {DatabaseSet} from './database_set.js';
 import {FleetTask} from '../fleet/fleet_task.js';
 import {EMPTY_FLEET_VIEW, isProven, provenShares} from '../fleet/fleet_view.js';
@@ -16,6 +18,8 @@
 import {LeadershipTask} from '../leadership/leadership_task.js';
 import {ConfigurationTask} from '../operators/configuration_task.js';
 import {DirectoryTask} from '../operators/directory_task.js';
+import {OwnerSubsystem} from '../owners/owner_subsystem.js';
+import type {OwnerTask} from '../owners/owner_task.js';
 import {GATEWAY_ROUTER} from '../peers/gateway_router.js';
 import {PeerSet} from '../peers/peer_set.js';
 import {newWatcherChoice} from '../peers/watcher_choice.js';
@@ -27,7 +31,6 @@
 import {QuotaTask} from '../quota/quota_task.js';
 import {WorkspaceShares} from '../quota/workspace_shares.js';
 import {AdmitFilter} from '../session/admit_filter.js';
-import {PlaceFilter} from '../session/place_filter.js';
 import {RouteFilter} from '../session/route_filter.js';
 import {SessionTask} from '../session/session_task.js';
 import type {SessionDependencies} from '../session/session_message.js';
@@ -35,6 +38,7 @@
 import {UsageSubsystem} from '../usage/usage_subsystem.js';
 import {DaemonPeerHandlers} from './daemon_peer_handlers.js';
 import type {GatewayPorts, OpenPorts} from './gateway_ports.js';
+import {usableProcessors} from './gateway_settings.js';
 import type {GatewaySettings} from './gateway_settings.js';
 import {stopGracefully} from './graceful_stop.js';
 import {serveMetrics} from './http_endpoints.js';
@@ -60,6 +64,7 @@
   private readonly positions: PositionTask;
   /** Undefined if the deployment has no usage reports. */
   private readonly usage: UsageSubsystem | undefined;
+  private readonly owner: OwnerTask;
   private readonly peerServer: PeerServer;
   private readonly sessionDependencies: SessionDependencies;
   private metricsServer: Server | undefined;
@@ -98,7 +103,12 @@
     };
     const {name: vm, data_centre: dataCentre} = settings.vm;
     const incarnation = randomUUID();
-    const entry = {peers: settings.listen.peers, dataCentre, incarnation};
+    const entry = {
+      peers: settings.listen.peers,
+      dataCentre,
+      incarnation,
+      processors: usableProcessors(settings.vm),
+    };
     const view = (): FleetView => this.currentView();
     const newWatcher = (purpose: WatchedState): WatcherChoice =>
       newWatcherChoice(settings.vm, view, {peers, purpose, log});
@@ -160,8 +170,28 @@
         log,
         onFailed,
       });
+    const configuration = (): RuntimeConfiguration | undefined =>
+      this.operators?.configuration;
+    const database = (group: string): DatabaseTask | undefined =>
+      this.databases.get(group);
+    const owners = new OwnerSubsystem({
+      vm: {name: vm, dataCentre, incarnation},
+      regionOf: name => settings.regions[name] ?? '',
+      view,
+      members: group => this.databases.membersOf(group),
+      isOutOfService: member => this.isOutOfService(member),
+      database,
+      configuration,
+      client: peers,
+      clock,
+      log,
+      metrics: this.metrics,
+      onFailed,
+    });
+    this.owner = owners.task;
     this.databases = new DatabaseSet({
       settings,
+      owners: owners.directory,
       links: this.ports.links,
       view,
       requestPositions: group => {
@@ -246,6 +276,7 @@
             directory: this.directory,
             positions: this.positions,
             usage: this.usage?.usage,
+            owner: this.owner,
           }),
         },
       },
@@ -255,19 +286,8 @@
       admit: Pipeline.of(new RouteFilter(), clock).then(
         new AdmitFilter(this.quota),
       ),
-      place: Pipeline.of(
-        new PlaceFilter({
-          database: group => this.databases.get(group),
-          configuration: () => this.operators?.configuration,
-          clock,
-          log,
-          metrics: this.metrics,
-          random: this.random,
-        }),
-        clock,
-      ),
-      database: group => this.databases.get(group),
-      configuration: () => this.operators?.configuration,
+      run: Pipeline.of(owners.filter, clock),
+      configuration,
       refundToken: workspace => this.quota.tell({kind: 'refund', workspace}),
       clock,
       log,
@@ -300,7 +320,11 @@
       graceMs: this.settings.limits.grace_ms,
       sessions: this.sessions,
       callers: this.ports.callers,
-      closeDatabases: () => this.databases.close(),
+      owner: this.owner,
+      closeDatabases: () => {
+        this.databases.close();
+        this.peers.closeStatements();
+      },
       leaveFleet: async () => {
         const left = ask<void>(reply =>
           this.fleet.tell({kind: 'leave', reply}),
@@ -375,6 +399,10 @@
         .map(([vm, {value}]) => ({vm, address: value.peers})),
     );
     this.databases.updateFleet(view);
+    const incarnations = new Map(
+      [...view.rows.vms].map(([vm, {value}]) => [vm, value.incarnation]),
+    );
+    this.owner.tell({kind: 'registrations', incarnations});
   }
 
   private applyOperatorState(state: OperatorState): void {
--- a/packages/gateway/src/database/database_message.ts
+++ b/packages/gateway/src/database/database_message.ts
@@ -26,6 +26,21 @@
   readonly dataCentresOut: ReadonlySet<string>;
   /** The number of VMs that share each member's connections. */
   readonly vmCount: number;
+  /** Undefined if every VM uses its own connections. */
+  readonly owners?: OwnerShare | undefined;
+}
+
+/** How the owners of a group share the connections of its members. */
+export interface OwnerShare {
+  /** Whether this VM is one of them. */
+  readonly role: 'owner' | 'other';
+  /** The number of all owners. */
+  readonly count: number;
+  /** The owners that serve the members of a data centre. */
+  readonly near: (dataCentre: string) => {
+    readonly count: number;
+    readonly self: 'included' | 'not-included';
+  };
 }
 
 /** How a VM stops using a primary. */
--- a/packages/gateway/src/database/member_table.ts
+++ b/packages/gateway/src/database/member_table.ts
@@ -22,19 +22,13 @@
 import type {MemberHealth} from './member_health.js';
 import type {ConcurrencyObserver} from './member_limit_log.js';
 import {MemberPool} from './member_pool.js';
+import {poolLimitsOf, warmupShareOf} from './member_shares.js';
 import type {MemberPoolLimits} from './pool_request.js';
 
 /** A replica that lacks a required position is avoided for this long. */
 const BEHIND_AVOID_MS = 150;
 /** Reads prefer other members for this long after a member was busy. */
 const BUSY_AVOID_MS = 50;
-/** The number of concurrent statements per VM and slot of a member. */
-const STATEMENTS_PER_SLOT = 2;
-/** The share of a member's connections that all VMs together keep idle. */
-const IDLE_CONNECTION_SHARE = 0.5;
-/** The number of connections per member that stay free for control. */
-const RESERVED_CONTROL_CONNECTIONS = 1;
-
 /** The services that the table uses. */
 export interface MemberTableDependencies {
   readonly vm: {readonly dataCentre: string; readonly region: string};
@@ -107,7 +101,7 @@
     entry.leavingSince =
       listed.state === 'leaving' ? (entry.leavingSince ?? now) : undefined;
     entry.warmup.configure(
-      view.settings.warmupPerSecond / view.vmCount,
+      view.settings.warmupPerSecond * warmupShareOf(listed, view),
       now + listed.remainingWarmupMs,
     );
     if (!this.accepts(listed)) entry.pool.drain();
@@ -366,33 +360,3 @@
     if (entry) entry.health = change(entry.health);
   }
 }
-
-function poolLimitsOf(
-  {slots}: ListedMember,
-  {settings, vmCount}: GroupView,
-): MemberPoolLimits {
-  const connections = Math.max(
-    1,
-    settings.connectionLimit - RESERVED_CONTROL_CONNECTIONS,
-  );
-  return {
-    connections,
-    share: idleShareOf(connections, vmCount),
-    statements: Math.max(1, slots * STATEMENTS_PER_SLOT),
-  };
-}
-
-/**
- * Returns the number of idle connections that a VM keeps open. All VMs together
- * leave half of a member's connections free, as the connections of a VM that
- * lost power stay open at the member for seconds. If a member has fewer
- * connections than there are VMs, none is kept, as the VMs would otherwise lock
- * each other out.
- */
-function idleShareOf(connections: number, vmCount: number): number {
-  if (vmCount > connections) return 0;
-  return Math.max(
-    1,
-    Math.floor((connections * IDLE_CONNECTION_SHARE) / vmCount),
-  );
-}
