Let an owner refuse statements until it is ready

An owner that had just started could have a proven view and no list of members. It then refused statements as busy, which their callers got, although the other owner could run them. It now answers 'not-ready' unless it is ready as for its balancer.

--- a/packages/core/src/owners/forward_failure.ts
+++ b/packages/core/src/owners/forward_failure.ts
@@ -8,7 +8,7 @@
   | 'no-answer'
   /** The owner stops and takes no new statements. */
   | 'stopping'
-  /** The owner lacks the group or a recent view of the fleet. */
+  /** The owner is not ready to serve callers, or lacks the group. */
   | 'not-ready'
   /** The owner does not hold the transaction, which was not committed. */
   | 'no-transaction'
--- a/packages/core/src/owners/owner_health.ts
+++ b/packages/core/src/owners/owner_health.ts
@@ -5,7 +5,7 @@
 /** For how long an owner is avoided after the first failure in a row. */
 const BACKOFF_MS = 500;
 const MAX_BACKOFF_MS = 3_000;
-/** For how long an owner is avoided that has no recent view of the fleet. */
+/** For how long an owner is avoided that is not ready. */
 const NOT_READY_AVOID_MS = 500;
 /**
  * The number of calls to one owner that may be without an answer. Each takes a
@@ -19,7 +19,7 @@
   /** It answered nothing although it had calls to answer. */
   | 'silent'
   | 'stopping'
-  /** It lacks the group or a recent view of the fleet. */
+  /** It is not ready to serve callers, or lacks the group. */
   | 'not-ready';
 
 /** What a VM has observed of one owner. */
--- a/packages/gateway/src/daemon/gateway_daemon.ts
+++ b/packages/gateway/src/daemon/gateway_daemon.ts
@@ -23,7 +23,6 @@
 import {ConfigurationTask} from '../operators/configuration_task.js';
 import {DirectoryTask} from '../operators/directory_task.js';
 import {OwnerSubsystem} from '../owners/owner_subsystem.js';
-import type {OwnerTask} from '../owners/owner_task.js';
 import {GATEWAY_ROUTER} from '../peers/gateway_router.js';
 import {PeerSet} from '../peers/peer_set.js';
 import {newWatcherChoice} from '../peers/watcher_choice.js';
@@ -65,7 +64,7 @@
   private readonly configuration: ConfigurationTask;
   private readonly directory: DirectoryTask;
   private readonly positions: PositionTask;
-  private readonly owner: OwnerTask;
+  private readonly owners: OwnerSubsystem;
   private readonly peerServer: PeerServer;
   private readonly sessionDependencies: SessionDependencies;
   private metricsServer: Server | undefined;
@@ -152,12 +151,13 @@
       this.operators?.configuration;
     const database = (group: string): DatabaseTask | undefined =>
       this.databases.get(group);
-    const owners = new OwnerSubsystem({
+    this.owners = new OwnerSubsystem({
       vm: {name: vm, dataCentre, incarnation},
       regionOf: name => settings.regions[name] ?? '',
       view,
       members: group => this.databases.membersOf(group),
       isOutOfService: member => this.isOutOfService(member),
+      isReady: () => this.readiness() === 'ready',
       database,
       configuration,
       client: peers,
@@ -166,10 +166,9 @@
       metrics: this.metrics,
       onFailed,
     });
-    this.owner = owners.task;
     this.databases = new DatabaseSet({
       settings,
-      owners: owners.directory,
+      owners: this.owners.directory,
       links: this.ports.links,
       view,
       requestPositions: group => {
@@ -254,7 +253,7 @@
             configuration: this.configuration,
             directory: this.directory,
             positions: this.positions,
-            owner: this.owner,
+            owner: this.owners.task,
           }),
         },
       },
@@ -264,7 +263,7 @@
       admit: Pipeline.of(new RouteFilter(), clock).then(
         new AdmitFilter(this.quota),
       ),
-      run: Pipeline.of(owners.filter, clock),
+      run: Pipeline.of(this.owners.filter, clock),
       configuration,
       refundToken: workspace => this.quota.tell({kind: 'refund', workspace}),
       clock,
@@ -296,7 +295,7 @@
       graceMs: this.settings.limits.grace_ms,
       sessions: this.sessions,
       callers: this.ports.callers,
-      owner: this.owner,
+      owner: this.owners.task,
       closeDatabases: () => {
         this.databases.close();
         this.peers.closeStatements();
@@ -369,10 +368,7 @@
         .map(([vm, {value}]) => ({vm, address: value.peers})),
     );
     this.databases.updateFleet(view);
-    const incarnations = new Map(
-      [...view.rows.vms].map(([vm, {value}]) => [vm, value.incarnation]),
-    );
-    this.owner.tell({kind: 'registrations', incarnations});
+    this.owners.updateRegistrations(view.rows);
   }
 
   private applyOperatorState(state: OperatorState): void {
--- a/packages/gateway/src/owners/owner_subsystem.ts
+++ b/packages/gateway/src/owners/owner_subsystem.ts
@@ -2,7 +2,7 @@
 import type {Clock} from '@pistachiorill/tasks';
 import type {Logger} from '@pistachiorill/telemetry';
 import type {DatabaseTask} from '../database/database_task.js';
-import {isProven} from '../fleet/fleet_view.js';
+import type {FleetRows} from '../fleet/fleet_rows.js';
 import type {FleetView} from '../fleet/fleet_view.js';
 import type {ListedMember} from '../ports/member_directory.js';
 import {PlaceFilter} from '../session/place_filter.js';
@@ -25,6 +25,8 @@
   readonly view: () => FleetView;
   readonly members: (group: string) => readonly ListedMember[];
   readonly isOutOfService: (member: ListedMember) => boolean;
+  /** Whether this VM may serve callers. */
+  readonly isReady: () => boolean;
   readonly database: (group: string) => DatabaseTask | undefined;
   readonly configuration: () => RuntimeConfiguration | undefined;
   readonly client: OwnerClient;
@@ -68,8 +70,14 @@
     this.task = new OwnerTask({
       ...deps,
       local,
-      isReady: group =>
-        database(group) !== undefined && isProven(view(), clock()),
+      isReady: group => database(group) !== undefined && deps.isReady(),
     });
   }
+  /** Rolls back the transactions of processes that are not registered. */
+  updateRegistrations({vms}: FleetRows): void {
+    const incarnations = new Map(
+      [...vms].map(([vm, {value}]) => [vm, value.incarnation]),
+    );
+    this.task.tell({kind: 'registrations', incarnations});
+  }
 }
--- a/packages/gateway/src/owners/owner_task.ts
+++ b/packages/gateway/src/owners/owner_task.ts
@@ -62,7 +62,7 @@
 export interface OwnerTaskDependencies {
   /** Runs a statement on this VM's own connections; it never forwards. */
   readonly local: Filter<RoutedStatement, FirstAnswer, SessionRefusal>;
-  /** Whether this VM serves a group and has a recent view of the fleet. */
+  /** Whether this VM serves a group and is ready, as its balancer sees it. */
   readonly isReady: (group: string) => boolean;
   readonly configuration: () => RuntimeConfiguration | undefined;
   readonly clock: Clock;
