Close surplus connections that have been idle for longest

Cause: MemberPool.maintain went through the connections in the order of their opening, so that the workspaces with most requests lost theirs first. Change: idle connections are closed in the order in which they became idle. Evidence: member_pool.test.ts, two workspaces of different activity, fails before.

--- a/packages/gateway/src/database/__tests__/member_pool.test.ts
+++ b/packages/gateway/src/database/__tests__/member_pool.test.ts
@@ -55,3 +55,41 @@
     expect(firstAcceptedAt).toBeLessThanOrEqual(2_000 + 100 + TICK_MS);
   });
 });
+
+describe('MemberPool with more idle connections than its share', () => {
+  // Guards against the busiest workspace losing its connections first, as they
+  // were opened first.
+  it('closes those that have been idle for longest', () => {
+    const closed: string[] = [];
+    const pool = new MemberPool(
+      {connections: 9, share: 1, statements: 9},
+      workspace =>
+        ({
+          state: 'clean',
+          values: new Map(),
+          tell: () => closed.push(workspace),
+        }) as unknown as MemberConnection,
+    );
+    const use = (workspace: string, now: number): void =>
+      pool.add(
+        {
+          workspace,
+          priority: 1,
+          values: new Map(),
+          use: 'statement',
+          until: Infinity,
+          grant: connection => pool.returnConnection(connection, now),
+          refuse: () => undefined,
+        },
+        now,
+      );
+    use('busy', 0);
+    use('quiet', 1);
+    for (let now = 5; now <= 100; now += 5) use('busy', now);
+    pool.maintain(120);
+    expect({closed, kept: pool.hasIdle('busy')}).toEqual({
+      closed: ['quiet'],
+      kept: true,
+    });
+  });
+});
--- a/packages/gateway/src/database/member_pool.ts
+++ b/packages/gateway/src/database/member_pool.ts
@@ -221,17 +221,14 @@
       this.limitChangedAt = now;
     }
     this.queue.refuseExpired(item => this.awaitedConnections(item, now), now);
-    let idle = this.connections.size - this.connections.inUse;
-    for (const item of this.connections.all) {
-      const {connection} = item;
-      const isUnusable = item.use === 'idle' && connection.state !== 'clean';
-      const isSurplus =
-        item.use === 'idle' &&
-        idle > this.limits.share &&
-        now - item.since > SURPLUS_IDLE_MS;
-      if (!isUnusable && !isSurplus) continue;
-      this.closeConnection(connection);
-      idle--;
+    for (const {connection} of this.connections.idle) {
+      if (connection.state !== 'clean') this.closeConnection(connection);
+    }
+    // The workspaces that send most keep theirs.
+    const {idle} = this.connections;
+    const surplus = Math.max(0, idle.length - this.limits.share);
+    for (const {connection, since} of idle.slice(0, surplus)) {
+      if (now - since > SURPLUS_IDLE_MS) this.closeConnection(connection);
     }
     this.serve(now);
   }
--- a/packages/gateway/src/database/pooled_connections.ts
+++ b/packages/gateway/src/database/pooled_connections.ts
@@ -100,6 +100,13 @@
     return oldest?.connection;
   }
 
+  /** The idle connections, those that have been idle for longest first. */
+  get idle(): readonly PooledConnection[] {
+    return this.all
+      .filter(item => item.use === 'idle')
+      .sort((a, b) => a.since - b.since);
+  }
+
   private count(matches: (item: PooledConnection) => boolean): number {
     let count = 0;
     for (const item of this.items.values()) if (matches(item)) count++;
