Do not count time without calls as silence of an owner

Cause: a probe's answer restarted the silence, and a call that ended without an answer afterwards did not end it, so that an idle owner was avoided. Change: the silence ends when no call is under way. Evidence: owners.test.ts, 'has no calls after a probe and a failed call', fails before (availability 'avoided').

--- a/packages/core/src/owners/__tests__/owners.test.ts
+++ b/packages/core/src/owners/__tests__/owners.test.ts
@@ -8,6 +8,7 @@
   afterOwnerAnswer,
   afterOwnerFailure,
   afterOwnerRefusal,
+  afterProbeAnswer,
   availabilityOf,
   checkSilence,
 } from '../owner_health.js';
@@ -207,6 +208,16 @@
         [3_101, answer],
       ],
     ],
+    // Guards against an idle owner that is avoided as silent.
+    [
+      'has no calls after a probe and a failed call',
+      [
+        [0, call],
+        [1_000, afterProbeAnswer],
+        [1_100, failed('silent', 0)],
+        [9_000, checkSilence],
+      ],
+    ],
     ['has too many calls', Array.from({length: 20}, (): Step => [0, call])],
   ])('%s', (unusedName, steps) => {
     let health = INITIAL_OWNER_HEALTH;
--- a/packages/core/src/owners/owner_health.ts
+++ b/packages/core/src/owners/owner_health.ts
@@ -94,7 +94,10 @@
   sentAt: number,
   now: number,
 ): OwnerHealth {
-  const ended = {...health, outstanding: health.outstanding - 1};
+  const outstanding = health.outstanding - 1;
+  // Time without calls is no silence.
+  const silentSince = outstanding > 0 ? health.silentSince : undefined;
+  const ended = {...health, outstanding, silentSince};
   return health.answeredAt >= sentAt ? ended : avoided(ended, reason, now);
 }
 
