Raise the owners of a data centre from 2 to 4

Cause: two owners with a third of a core each ran out of processor time in a burst, and VMs fell back to direct connections. Change: 4 owners; the owners near a member divide its concurrent statements, and a single owner takes half of the owners' warm-up rate, as the sum was 1.3 times the rate while a successor overlapped with it.

--- a/packages/core/src/owners/__tests__/owners.test.ts
+++ b/packages/core/src/owners/__tests__/owners.test.ts
@@ -124,7 +124,7 @@
   it('runs a statement directly at its owner', () => {
     const at = (self: string) =>
       ownerTargets(READ, PLACES, self, () => 'available').length;
-    expect((OWNERS.get('eu-2') ?? []).map(at).sort()).toEqual([1, 2]);
+    expect((OWNERS.get('eu-2') ?? []).map(at).sort()).toEqual([1, 2, 3, 4]);
   });
 });
 
--- a/packages/gateway/src/database/member_shares.ts
+++ b/packages/gateway/src/database/member_shares.ts
@@ -4,6 +4,12 @@
 
 /** The number of concurrent statements per VM and slot of a member. */
 const STATEMENTS_PER_SLOT = 2;
+/**
+ * The number of concurrent statements per slot that the owners near a member may
+ * send together. More would fill the member's own queue, which knows no
+ * priorities, and open connections for statements that wait there.
+ */
+const OWNERS_STATEMENTS_PER_SLOT = 4;
 /** The share of a member's connections that all VMs together keep idle. */
 const IDLE_CONNECTION_SHARE = 0.5;
 /**
@@ -13,6 +19,8 @@
 const OWNERS_CONNECTION_SHARE = 0.75;
 /** The shares of a member's warm-up rate, see `warmupShareOf`. */
 const OWNERS_WARMUP_SHARE = 0.6;
+/** A single owner takes the part of one of two: its successor may overlap. */
+const MIN_OWNERS_FOR_WARMUP = 2;
 const OTHERS_WARMUP_SHARE = 0.1;
 /** The number of connections per member that stay free for control. */
 const RESERVED_CONTROL_CONNECTIONS = 1;
@@ -38,7 +46,19 @@
       ? OWNERS_CONNECTION_SHARE / place.owners
       : 1 - OWNERS_CONNECTION_SHARE;
   const usable = Math.max(1, Math.floor(connections * part));
-  return {connections: usable, share, statements};
+  return {
+    connections: usable,
+    share,
+    statements:
+      place.kind === 'owner-nearby'
+        ? Math.min(statements, ownerStatementsOf(listed, place.owners))
+        : statements,
+  };
+}
+
+/** The concurrent statements that one of the owners near a member may send. */
+function ownerStatementsOf({slots}: ListedMember, owners: number): number {
+  return Math.max(1, Math.ceil((slots * OWNERS_STATEMENTS_PER_SLOT) / owners));
 }
 
 /** What a VM is to a member whose group has owners. */
@@ -82,8 +102,8 @@
 /**
  * Returns this VM's part of the rate at which all VMs together may send
  * statements to a member that warms up. The parts of the owners near the member
- * leave so much that the sum stays below the rate while two VMs differ about one
- * of two owners.
+ * leave so much that the sum stays below the rate while VMs differ about one of
+ * the owners.
  */
 export function warmupShareOf(
   listed: ListedMember,
@@ -92,7 +112,7 @@
   if (!owners) return 1 / vmCount;
   const place = placeOf(listed, owners);
   return place.kind === 'owner-nearby'
-    ? OWNERS_WARMUP_SHARE / place.owners
+    ? OWNERS_WARMUP_SHARE / Math.max(MIN_OWNERS_FOR_WARMUP, place.owners)
     : OTHERS_WARMUP_SHARE / vmCount;
 }
 
--- a/packages/gateway/src/owners/__tests__/owner_load.test.ts
+++ b/packages/gateway/src/owners/__tests__/owner_load.test.ts
@@ -127,9 +127,9 @@
           mode === 'owners'
             ? {
                 role: isOwner ? 'owner' : 'other',
-                count: 6,
+                count: [...byDataCentre.values()].flat().length,
                 near: dc => ({
-                  count: 2,
+                  count: byDataCentre.get(dc)?.length ?? 0,
                   self:
                     isOwner && dc === dataCentre ? 'included' : 'not-included',
                 }),
