Refuse statements whose owners are full instead of running them directly

Cause: a VM whose owners opened no connection in 250 ms, or had 20 of its calls under way, ran statements on its own connections; in a burst the direct connections of all VMs overloaded the members. Change: an owner that opens no connection in time is probed. It is full if it answers, and gone if it does not or fails twice in a row. The direct way is left for a VM whose owners are all gone, cut off, stopping or not ready; else the statement is refused as busy with a delay with jitter. The random source now reaches the owners' filters.

--- a/packages/core/src/owners/__tests__/owners.test.ts
+++ b/packages/core/src/owners/__tests__/owners.test.ts
@@ -9,12 +9,17 @@
   afterOwnerFailure,
   afterOwnerRefusal,
   afterProbeAnswer,
+  afterProbeFailure,
   availabilityOf,
   checkSilence,
 } from '../owner_health.js';
 import type {OwnerHealth} from '../owner_health.js';
 import {ownerTargets} from '../owner_targets.js';
-import type {OwnerPlaces, OwnerQuery} from '../owner_targets.js';
+import type {
+  OwnerAvailability,
+  OwnerPlaces,
+  OwnerQuery,
+} from '../owner_targets.js';
 import {hasOwners, selectOwners} from '../select_owners.js';
 import type {OwnerVm} from '../select_owners.js';
 
@@ -107,12 +112,24 @@
     ['read without members', {}, {memberDataCentres: []}, {}],
     ['another workspace', {workspace: 'w5'}, {}, {}],
     ['one owner avoided', {}, {}, {'vm-21': 'avoided'}],
+    ['one owner full', {}, {}, {'vm-33': 'full'}],
+    [
+      'all owners gone or full',
+      {},
+      {},
+      {
+        'vm-21': 'avoided',
+        'vm-33': 'full',
+        'vm-37': 'avoided',
+        'vm-13': 'avoided',
+      },
+    ],
   ])('%s', (unusedName, query, places, states) => {
     const targets = ownerTargets(
       {...READ, ...query},
       {...PLACES, ...places},
       'vm-0',
-      vm => (states[vm] as 'avoided' | undefined) ?? 'available',
+      vm => (states[vm] as OwnerAvailability | undefined) ?? 'available',
     );
     expect(
       targets.map(item => (item.kind === 'owner' ? item.vm : item.kind)),
@@ -136,7 +153,10 @@
   const call: Step[1] = afterCall;
   const answer: Step[1] = afterOwnerAnswer;
   const failed =
-    (reason: 'unreachable' | 'silent', sentAt: number): Step[1] =>
+    (
+      reason: 'unreachable' | 'silent' | 'overloaded',
+      sentAt: number,
+    ): Step[1] =>
     (health, now) =>
       afterOwnerFailure(health, reason, sentAt, now);
 
@@ -218,6 +238,33 @@
         [9_000, checkSilence],
       ],
     ],
+    [
+      'opens no connection in time',
+      [
+        [0, call],
+        [0, call],
+        [250, failed('overloaded', 0)],
+        [260, failed('overloaded', 0)],
+        [300, afterProbeAnswer],
+      ],
+    ],
+    [
+      'opens no connection and answers no probe',
+      [
+        [0, call],
+        [250, failed('overloaded', 0)],
+        [450, (health, now) => afterProbeFailure(health, 250, now)],
+      ],
+    ],
+    [
+      'opens no connection twice in a row',
+      [
+        [0, call],
+        [250, failed('overloaded', 0)],
+        [800, call],
+        [1_050, failed('overloaded', 800)],
+      ],
+    ],
     ['has too many calls', Array.from({length: 20}, (): Step => [0, call])],
   ])('%s', (unusedName, steps) => {
     let health = INITIAL_OWNER_HEALTH;
--- a/packages/core/src/owners/owner_health.ts
+++ b/packages/core/src/owners/owner_health.ts
@@ -15,6 +15,8 @@
 
 /** Why an owner gets no new statements for some time. */
 export type OwnerAvoidReason =
+  /** It opened no connection in time, and may be short of processor time. */
+  | 'overloaded'
   | 'unreachable'
   /** It answered nothing although it had calls to answer. */
   | 'silent'
@@ -22,6 +24,13 @@
   /** It is not ready to serve callers, or lacks the group. */
   | 'not-ready';
 
+/** The reasons that hold although the owner answers. */
+const KEPT_REASONS: readonly OwnerAvoidReason[] = [
+  'overloaded',
+  'stopping',
+  'not-ready',
+];
+
 /** What a VM has observed of one owner. */
 export interface OwnerHealth {
   /** The number of calls without an answer. */
@@ -61,9 +70,7 @@
 ): OwnerHealth {
   const {avoid} = health;
   const isKept =
-    avoid !== undefined &&
-    now < avoid.until &&
-    (avoid.reason === 'stopping' || avoid.reason === 'not-ready');
+    isAvoided(health, now) && KEPT_REASONS.includes(avoid?.reason ?? 'silent');
   return {
     outstanding: health.outstanding - 1,
     silentSince: undefined,
@@ -86,11 +93,12 @@
 
 /**
  * A call that was made at `sentAt` ended without an answer. The owner is avoided
- * unless it answered another call since.
+ * unless it answered another call since. One that opens no connection is
+ * overloaded; it is unreachable if that happens again without an answer between.
  */
 export function afterOwnerFailure(
   health: OwnerHealth,
-  reason: 'unreachable' | 'silent',
+  reason: 'unreachable' | 'silent' | 'overloaded',
   sentAt: number,
   now: number,
 ): OwnerHealth {
@@ -98,6 +106,10 @@
   // Time without calls is no silence.
   const silentSince = outstanding > 0 ? health.silentSince : undefined;
   const ended = {...health, outstanding, silentSince};
+  if (reason === 'overloaded') {
+    const isRepeated = health.failures > 0 && !isAvoided(health, now);
+    return avoided(ended, isRepeated ? 'unreachable' : reason, now);
+  }
   return health.answeredAt >= sentAt ? ended : avoided(ended, reason, now);
 }
 
@@ -133,18 +145,28 @@
   {avoid, outstanding}: OwnerHealth,
   now: number,
 ): OwnerAvailability {
-  if (avoid && now < avoid.until) return 'avoided';
+  if (avoid && now < avoid.until) {
+    return avoid.reason === 'overloaded' ? 'full' : 'avoided';
+  }
   return outstanding < MAX_OUTSTANDING ? 'available' : 'full';
 }
 
+function isAvoided({avoid}: OwnerHealth, now: number): boolean {
+  return avoid !== undefined && now < avoid.until;
+}
+
 function avoided(
   health: OwnerHealth,
   reason: OwnerAvoidReason,
   now: number,
 ): OwnerHealth {
-  // Calls that fail while the owner is avoided are no further evidence.
-  if (health.avoid && now < health.avoid.until) {
-    return {...health, silentSince: undefined};
+  // Calls that fail while the owner is avoided are no further evidence, except
+  // that one which seemed overloaded is gone.
+  if (isAvoided(health, now)) {
+    const {avoid: current} = health;
+    const avoid =
+      current?.reason === 'overloaded' ? {...current, reason} : current;
+    return {...health, silentSince: undefined, avoid};
   }
   const failures = health.failures + 1;
   const ms = Math.min(MAX_BACKOFF_MS, BACKOFF_MS * 2 ** (failures - 1));
--- a/packages/core/src/owners/owner_targets.ts
+++ b/packages/core/src/owners/owner_targets.ts
@@ -3,7 +3,10 @@
 
 /** Where a VM runs a statement: at an owner, or on its own connections. */
 export type OwnerTarget =
-  {readonly kind: 'owner'; readonly vm: string} | {readonly kind: 'direct'};
+  | {readonly kind: 'owner'; readonly vm: string}
+  | {readonly kind: 'direct'}
+  /** Nowhere: direct connections would overload the members further. */
+  | {readonly kind: 'busy'};
 
 /** A statement for which a data centre and an owner are chosen. */
 export interface OwnerQuery {
@@ -27,13 +30,15 @@
 }
 
 /** Whether a VM may send an owner a new statement now. */
-export type OwnerAvailability = 'available' | 'avoided' | 'full';
-
-const DIRECT: OwnerTarget = {kind: 'direct'};
+export type OwnerAvailability =
+  | 'available'
+  /** It is gone, cut off or stopping. */
+  | 'avoided'
+  /** It serves others and takes no more now. */
+  | 'full';
 
 /**
- * Returns where to run a statement, in order; the last one is always `direct`.
- * The workspace's hash decides among the owners of the data centre, so that the
+ * Returns where to run a statement, in order; the last one is no owner. The workspace's hash decides among the owners of the data centre, so that the
  * connections of a workspace are reused.
  */
 export function ownerTargets(
@@ -44,12 +49,29 @@
 ): readonly OwnerTarget[] {
   const dataCentre = dataCentreFor(query, places);
   const owners = places.owners.get(dataCentre ?? '') ?? [];
+  const ordered = rendezvousOrder(query.workspace, owners);
+  return targetsAmong(ordered, self, availabilityOf);
+}
+
+/**
+ * Returns the owners that take a statement, and what follows if none runs it:
+ * the VM's own connections, unless an owner is there and full. Connections of
+ * many VMs beside such owners would overload the members.
+ */
+export function targetsAmong(
+  owners: readonly string[],
+  self: string,
+  availabilityOf: (vm: string) => OwnerAvailability,
+): readonly OwnerTarget[] {
   const targets: OwnerTarget[] = [];
-  for (const vm of rendezvousOrder(query.workspace, owners)) {
-    if (vm === self) break;
-    if (availabilityOf(vm) === 'available') targets.push({kind: 'owner', vm});
+  let last: OwnerTarget = {kind: 'direct'};
+  for (const vm of owners) {
+    if (vm === self) return [...targets, {kind: 'direct'}];
+    const availability = availabilityOf(vm);
+    if (availability === 'available') targets.push({kind: 'owner', vm});
+    if (availability === 'full') last = {kind: 'busy'};
   }
-  return [...targets, DIRECT];
+  return [...targets, last];
 }
 
 /**
--- a/packages/gateway/src/daemon/gateway_daemon.ts
+++ b/packages/gateway/src/daemon/gateway_daemon.ts
@@ -186,6 +186,7 @@
       clock,
       log,
       metrics: this.metrics,
+      random: this.random,
       onFailed,
     });
     this.databases = new DatabaseSet({
--- a/packages/gateway/src/owners/__tests__/forwarding.test.ts
+++ b/packages/gateway/src/owners/__tests__/forwarding.test.ts
@@ -1,3 +1,4 @@
+import {targetsAmong} from '@pistachiorill/core';
 import type {DatabaseRoute, RuntimeConfiguration} from '@pistachiorill/core';
 import {afterEach, describe, expect, it} from 'vitest';
 import {
@@ -47,14 +48,8 @@
         vm: 'vm-1',
         incarnation: 'i1',
         local,
-        targets: () => [
-          ...['x', 'y'].flatMap(vm =>
-            calls.availabilityOf(vm) === 'available'
-              ? [{kind: 'owner', vm} as const]
-              : [],
-          ),
-          {kind: 'direct'},
-        ],
+        targets: () =>
+          targetsAmong(['x', 'y'], 'vm-1', vm => calls.availabilityOf(vm)),
         calls,
         client,
         configuration: () => SESSION_CONFIGURATION,
@@ -107,6 +102,21 @@
         y.mode = 'unreachable';
       },
     ],
+    // Direct connections of all VMs would overload the members further.
+    [
+      'two overloaded owners',
+      ({x, y}) => {
+        x.mode = 'overloaded';
+        y.mode = 'overloaded';
+      },
+    ],
+    [
+      'an overloaded owner and one that is gone',
+      ({x, y}) => {
+        x.mode = 'unreachable';
+        y.mode = 'overloaded';
+      },
+    ],
   ])('%s', async (unusedName, setup) => {
     const results: Record<string, unknown> = {};
     for (const [name, statements] of [
@@ -121,6 +131,23 @@
     expect(results).toMatchSnapshot();
   });
 
+  // Guards against a VM that refuses what it could serve: the first statements
+  // find out that the owners answer no probes either.
+  it.each([
+    ['read', READ],
+    ['write', WRITE],
+  ])(
+    '%s of a VM that is cut off from the owners',
+    async (unused, statement) => {
+      const fleet = start();
+      fleet.x.mode = 'cut-off';
+      fleet.y.mode = 'cut-off';
+      await fleet.run(statement);
+      await new Promise(resolve => setTimeout(resolve, 300));
+      expect(await play(fleet)).toMatchSnapshot();
+    },
+  );
+
   // Guards against a statement that runs with other session state than that of
   // its caller, and against a read that misses a commit of its session.
   it('passes the state of the session on', async () => {
--- a/packages/gateway/src/owners/forward_filter.ts
+++ b/packages/gateway/src/owners/forward_filter.ts
@@ -1,7 +1,14 @@
-import {Filter, attemptFailureOf, fail, ok} from '@pistachiorill/core';
+import {
+  Filter,
+  attemptFailureOf,
+  fail,
+  ok,
+  withJitter,
+} from '@pistachiorill/core';
 import type {
   ForwardFailure,
   OwnerTarget,
+  Random,
   Result,
   RuntimeConfiguration,
 } from '@pistachiorill/core';
@@ -9,7 +16,7 @@
 import type {Clock} from '@pistachiorill/tasks';
 import type {Logger} from '@pistachiorill/telemetry';
 import type {SessionRefusal} from '../ports/caller_link.js';
-import {concludeFault} from '../session/conclude_fault.js';
+import {busyRefusal, concludeFault} from '../session/conclude_fault.js';
 import {firstSuccess} from '../session/first_success.js';
 import type {FirstAnswer} from '../session/member_transaction.js';
 import {effectOf, hedgeDelayMs} from '../session/place_filter.js';
@@ -27,6 +34,8 @@
 
 /** A statement with less time left is not tried at another VM. */
 const MIN_REMAINING_MS = 100;
+/** Owners that take no more statements have served some within this time. */
+const OWNERS_FULL_DELAY_MS = 100;
 
 /** The services of the VM that the filter uses. */
 export interface ForwardDependencies {
@@ -35,7 +44,7 @@
   readonly incarnation: string;
   /** Runs a statement on this VM's own connections. */
   readonly local: Filter<RoutedStatement, FirstAnswer, SessionRefusal>;
-  /** Where to run a statement, in order; the last one is `direct`. */
+  /** Where to run a statement, in order; the last one is no owner. */
   readonly targets: (statement: RoutedStatement) => readonly OwnerTarget[];
   readonly calls: OwnerCalls;
   readonly client: OwnerClient;
@@ -44,6 +53,8 @@
   readonly clock: Clock;
   readonly log: Logger;
   readonly metrics: GatewayMetrics;
+  /** Spreads the delays of refusals. */
+  readonly random?: Random | undefined;
 }
 
 type RunResult = Result<FirstAnswer, SessionRefusal>;
@@ -83,10 +94,11 @@
   private async runAt(
     statement: RoutedStatement,
     [target, ...rest]: readonly OwnerTarget[],
+    tried: readonly string[] = [],
   ): Promise<RunResult> {
-    const {local, clock, configuration} = this.deps;
-    if (target === undefined || target.kind === 'direct') {
-      return local.run(statement, clock());
+    const {clock, configuration} = this.deps;
+    if (target?.kind !== 'owner') {
+      return this.runWithoutOwner(statement, target, tried);
     }
     const refusal = refusalAfterWait(configuration(), statement);
     if (refusal) return fail(refusal);
@@ -96,13 +108,32 @@
     if (isHedged && (await this.isSilent(statement, target.vm, attempt))) {
       return firstSuccess(
         attempt.then(({result}) => result),
-        this.runAt(statement, rest),
+        this.runAt(statement, rest, [...tried, target.vm]),
       );
     }
     const {conclusion, result} = await attempt;
     const isLate = clock() >= statement.deadline - MIN_REMAINING_MS;
     if (conclusion === 'final' || isLate) return result;
-    return this.runAt(statement, rest);
+    return this.runAt(statement, rest, [...tried, target.vm]);
+  }
+
+  /** Runs a statement that no owner took on this VM's connections, or refuses it. */
+  private async runWithoutOwner(
+    statement: RoutedStatement,
+    target: OwnerTarget | undefined,
+    tried: readonly string[],
+  ): Promise<RunResult> {
+    const {calls, clock, local, random, targets} = this.deps;
+    let last = target;
+    // The attempts have shown more of the owners than was known before.
+    if (tried.length > 0) last = targets(statement).at(-1);
+    if (tried.length > 0 && last?.kind === 'busy') {
+      await calls.probed(tried);
+      last = targets(statement).at(-1);
+    }
+    if (last?.kind !== 'busy') return local.run(statement, clock());
+    const delayMs = withJitter(OWNERS_FULL_DELAY_MS, random);
+    return fail(busyRefusal('the owners of the group are full', delayMs));
   }
 
   /**
--- a/packages/gateway/src/owners/owner_calls.ts
+++ b/packages/gateway/src/owners/owner_calls.ts
@@ -81,6 +81,11 @@
     return probe;
   }
 
+  /** Waits for the probes of owners that are under way. */
+  async probed(owners: readonly string[]): Promise<void> {
+    await Promise.all(owners.map(owner => this.probes.get(owner)));
+  }
+
   /** Makes a call that runs a statement, and records how it ended. */
   async run(
     owner: string,
@@ -96,14 +101,16 @@
     const health = this.healthOf(owner);
     const now = clock();
     if (!result.ok) {
-      const {kind, detail} = result.err;
-      if (kind === 'rejected') {
+      const {err} = result;
+      const {detail} = err;
+      if (err.kind === 'rejected') {
         this.update(owner, afterOwnerAnswer(health, now));
         return {kind: 'failed', failure: 'not-sent', detail};
       }
-      const reason = kind === 'unreachable' ? kind : 'silent';
+      const reason = failureReasonOf(err);
       this.update(owner, afterOwnerFailure(health, reason, sentAt, now));
-      const failure = kind === 'unreachable' ? 'not-sent' : kind;
+      if (reason === 'overloaded') void this.isAnswering(owner, sentAt);
+      const failure = err.kind === 'unreachable' ? 'not-sent' : err.kind;
       return {kind: 'failed', failure, detail};
     }
     const answer = result.value;
@@ -179,3 +186,10 @@
     }
   }
 }
+
+function failureReasonOf(
+  err: Exclude<PeerError, {kind: 'rejected'}>,
+): 'unreachable' | 'silent' | 'overloaded' {
+  if (err.kind === 'no-answer') return 'silent';
+  return err.cause === 'connect-timeout' ? 'overloaded' : 'unreachable';
+}
--- a/packages/gateway/src/owners/owner_subsystem.ts
+++ b/packages/gateway/src/owners/owner_subsystem.ts
@@ -1,4 +1,4 @@
-import type {RuntimeConfiguration} from '@pistachiorill/core';
+import type {Random, RuntimeConfiguration} from '@pistachiorill/core';
 import type {Clock} from '@pistachiorill/tasks';
 import type {Logger} from '@pistachiorill/telemetry';
 import type {DatabaseTask} from '../database/database_task.js';
@@ -33,6 +33,8 @@
   readonly clock: Clock;
   readonly log: Logger;
   readonly metrics: GatewayMetrics;
+  /** Spreads retries and the delays of refusals. */
+  readonly random?: Random;
   readonly onFailed: (err: unknown) => void;
 }
 
--- a/packages/gateway/src/testing/fake_owner.ts
+++ b/packages/gateway/src/testing/fake_owner.ts
@@ -24,6 +24,10 @@
 export type OwnerLinkMode =
   | 'answers'
   | 'unreachable'
+  /** It opens no connection in time, and answers probes. */
+  | 'overloaded'
+  /** No connection opens in time, also none for a probe. */
+  | 'cut-off'
   /** The owner does not receive the call. */
   | 'loses-calls'
   /** The owner receives the call, and its answer is lost. */
@@ -105,7 +109,9 @@
     timeoutMs: number,
   ): Promise<Result<void, PeerError>> {
     const mode = this.owners.get(owner)?.mode;
-    if (mode === 'answers' || mode === 'slow') return ok(undefined);
+    if (mode === 'answers' || mode === 'slow' || mode === 'overloaded') {
+      return ok(undefined);
+    }
     await sleep(timeoutMs);
     return fail({kind: 'no-answer', detail: 'no answer'});
   }
@@ -126,6 +132,10 @@
       return fail({kind: 'unreachable', detail: 'no connection'});
     }
     const {mode} = owner;
+    if (mode === 'overloaded' || mode === 'cut-off') {
+      const cause = 'connect-timeout';
+      return fail({kind: 'unreachable', detail: 'no connection', cause});
+    }
     const delayMs = this.delayMs(name);
     if (delayMs > 0) await sleep(delayMs);
     if (mode === 'slow') await sleep(SLOW_FOR_MS);
--- a/packages/peers/src/call_peer.ts
+++ b/packages/peers/src/call_peer.ts
@@ -48,7 +48,10 @@
   }
   const {cause} = err;
   if (cause instanceof TransportError) {
-    return {kind: cause.kind, detail: cause.message};
+    const {kind, message, connect} = cause;
+    return kind === 'unreachable' && connect === 'timed-out'
+      ? {kind, detail: message, cause: 'connect-timeout'}
+      : {kind, detail: message};
   }
   const code = (err.data as {code?: string} | undefined)?.code;
   return code !== undefined && REJECTION_CODES.has(code)
--- a/packages/peers/src/http_request.ts
+++ b/packages/peers/src/http_request.ts
@@ -9,6 +9,8 @@
   constructor(
     readonly kind: 'unreachable' | 'no-answer',
     message: string,
+    /** Whether a connection failed to open within its time limit. */
+    readonly connect: 'timed-out' | 'other' = 'other',
   ) {
     super(message);
   }
@@ -52,6 +54,7 @@
   return new Promise((resolve, reject) => {
     let connection: 'opening' | 'open' = 'opening';
     let timeout: Error | undefined;
+    let connect: 'timed-out' | 'other' = 'other';
     const req = request({
       agent: call.agent,
       host: call.host,
@@ -68,6 +71,7 @@
       req.destroy(new Error('aborted'));
     };
     const timer = setTimeout(() => {
+      connect = 'timed-out';
       timeout = new Error(`no answer within ${call.timeoutMs} ms`);
       // Resets the connection, which discards request data that has not been
       // delivered yet.
@@ -85,7 +89,7 @@
       finish();
       const kind = connection === 'opening' ? 'unreachable' : 'no-answer';
       // A reset by this side is reported as if the other side had hung up.
-      reject(new TransportError(kind, (timeout ?? err).message));
+      reject(new TransportError(kind, (timeout ?? err).message, connect));
     };
     if (call.signal?.aborted) abort();
     call.signal?.addEventListener('abort', abort);
@@ -96,6 +100,7 @@
       }
       if (call.connectTimeoutMs !== undefined) {
         connectTimer = setTimeout(() => {
+          connect = 'timed-out';
           req.destroy(
             new Error(`no connection in ${call.connectTimeoutMs} ms`),
           );
