Send windows that were never sent before failed reports

Cause: only the oldest unsettled window was sent until it was given up, so one report without an answer made the next four late. The pause after a failure was measured by the wall clock.

Evidence: the fault 'the platform never answers the report of one window' of report_task.test.ts fails with the former sources and passes now: of 10 windows only the unanswered one is missing.

--- a/packages/core/src/usage/__tests__/usage_step.test.ts
+++ b/packages/core/src/usage/__tests__/usage_step.test.ts
@@ -1,4 +1,5 @@
 import {describe, expect, it} from 'vitest';
+import {ReportAttempts} from '../report_attempts.js';
 import {sumCounts} from '../usage_counts.js';
 import {decideUsageStep, firstRecordable} from '../usage_step.js';
 import type {UsageDutyState} from '../usage_step.js';
@@ -13,7 +14,7 @@
   lease: {kind: 'held', leftMs: 5_000},
   records: new Map([[98, RECORD]]),
   settled: new Set([98]),
-  resendAt: 0,
+  failed: new Map(),
   firstRecordable: 99,
   collection: undefined,
 };
@@ -41,8 +42,11 @@
   ['collected another window', HELD, END + 7_500],
   ['unsent record', UNSENT, END],
   ['unsent record, lease of 1.5 s', withLease(UNSENT, 4_000), END],
-  ['unsent record, refused just now', {...UNSENT, resendAt: END + 1}, END],
-  ['unsent record, collected', {...UNSENT, resendAt: END + 9_000}, END + 3_000],
+  ['unsent record, refused just now', failedUntil(END + 1), END],
+  ['unsent record, collected', failedUntil(END + 9_000), END + 3_000],
+  ['one failed, one never sent', failedBesides(97, 99), END],
+  ['failed record, time to collect', failedUntil(END), END + 2_500],
+  ['two failed records', bothFailed(), END],
   ['unsent record of no use', UNSENT, END + 16_000],
   ['windows of an outage', HELD, END + 60_000],
 ];
@@ -51,6 +55,26 @@
   return {...HELD, collection: {window: 99, state, retryAt: 0}};
 }
 
+/** The report of window 98 failed and may be sent again at `retryAt`. */
+function failedUntil(retryAt: number): UsageDutyState {
+  return {...UNSENT, failed: new Map([[98, {failures: 1, retryAt}]])};
+}
+
+function failedBesides(failed: number, neverSent: number): UsageDutyState {
+  const records = new Map([
+    [failed, RECORD],
+    [neverSent, RECORD],
+  ]);
+  const failure = {failures: 1, retryAt: END};
+  return {...UNSENT, records, failed: new Map([[failed, failure]])};
+}
+
+function bothFailed(): UsageDutyState {
+  const failure = {failures: 1, retryAt: END};
+  const duty = failedBesides(97, 99);
+  return {...duty, failed: new Map([...duty.failed, [99, failure]])};
+}
+
 function withLease(duty: UsageDutyState, leftMs: number): UsageDutyState {
   return {...duty, lease: {kind: 'held', leftMs}};
 }
@@ -59,7 +83,42 @@
   // Guards against reports without a lease that outlasts them, counts that are
   // recorded before the VMs answered or too late, and windows out of order.
   it.each(CASES)('%s', (unusedName, duty, wallMs) => {
-    expect(decideUsageStep(duty, BOUNDS, wallMs)).toMatchSnapshot();
+    const time = {wallMs, now: wallMs};
+    expect(decideUsageStep(duty, BOUNDS, time)).toMatchSnapshot();
+  });
+
+  // Guards against one report without an answer that delays all later ones
+  // until they are late.
+  it('sends each window before it is due though no call is answered', () => {
+    const records = new Map([[98, RECORD]]);
+    const firstSent = new Map<number, number>();
+    const attempts = new ReportAttempts();
+    for (let now = END; now < END + 60_000; now += 200) {
+      // Each window is recorded 3 s after its end.
+      const ended = Math.floor((now - 3_000) / 5_000) - 1;
+      for (let window = 99; window <= ended; window++) {
+        records.set(window, RECORD);
+      }
+      const {settled, failed} = attempts;
+      const duty = {...HELD, settled, failed, records};
+      const step = decideUsageStep(duty, BOUNDS, {wallMs: now, now});
+      if (step.kind !== 'send') continue;
+      if (!firstSent.has(step.window)) firstSent.set(step.window, now);
+      // The time limit of a call.
+      now += 1_000;
+      attempts.noteFailure(step.window, now);
+    }
+    const late = [...firstSent].filter(
+      ([window, at]) => at > (window + 1) * 5_000 + 10_000,
+    );
+    expect({late, windows: firstSent.size}).toMatchSnapshot();
+  });
+
+  // Guards against a step of the wall clock that holds a failed report back.
+  it('measures the pause after a failure by the steady clock', () => {
+    const duty = failedUntil(END);
+    const time = {wallMs: END - 10_000, now: END};
+    expect(decideUsageStep(duty, BOUNDS, time)).toMatchSnapshot();
   });
 });
 
--- a/packages/core/src/usage/index.ts
+++ b/packages/core/src/usage/index.ts
@@ -1,3 +1,4 @@
+export * from './report_attempts.js';
 export * from './usage_bounds.js';
 export * from './usage_cleanup.js';
 export * from './usage_counts.js';
--- a/packages/core/src/usage/usage_step.ts
+++ b/packages/core/src/usage/usage_step.ts
@@ -1,3 +1,4 @@
+import type {FailedReport} from './report_attempts.js';
 import type {WorkspaceCounts} from './usage_counts.js';
 import {
   LEASE_RENEWAL_MS,
@@ -65,7 +66,7 @@
 export interface CollectionState {
   readonly window: number;
   readonly state: 'under-way' | 'incomplete' | 'complete';
-  /** When VMs that have not answered are asked again. */
+  /** When VMs that have not answered are asked again, by this VM's clock. */
   readonly retryAt: number;
 }
 
@@ -75,8 +76,8 @@
   readonly records: UsageRecords;
   /** Windows whose report was answered for good, by this process. */
   readonly settled: ReadonlySet<number>;
-  /** When a report that failed may be sent again. */
-  readonly resendAt: number;
+  /** Reports by window that were sent without a final answer. */
+  readonly failed: ReadonlyMap<number, FailedReport>;
   readonly firstRecordable: number;
   readonly collection: CollectionState | undefined;
 }
@@ -95,45 +96,69 @@
 
 const WAIT: UsageStep = {kind: 'wait'};
 
+/** The present time. */
+export interface UsageTime {
+  /** The estimated wall-clock time, which may jump. */
+  readonly wallMs: number;
+  /** The time of this VM's clock, which measures pauses. */
+  readonly now: number;
+}
+
 /**
  * Decides the next step. A successor sends all recorded counts again that are
- * not given up, as it does not know which ones have arrived.
+ * not given up, as it does not know which ones have arrived. A report that was
+ * never sent goes first, and one that failed last: a call without an answer takes
+ * its full time limit, which would make later windows late.
  */
 export function decideUsageStep(
   duty: UsageDutyState,
   bounds: UsageBounds,
-  wallMs: number,
+  time: UsageTime,
 ): UsageStep {
   const {lease} = duty;
   if (lease.kind === 'not-available') return WAIT;
   if (lease.kind === 'free') return {kind: 'acquire'};
   const {durationMs} = usageLeaseTerms(bounds);
   if (durationMs - lease.leftMs >= LEASE_RENEWAL_MS) return {kind: 'renew'};
-  const unsent = oldestUnsent(duty, bounds, wallMs);
-  if (unsent !== undefined && wallMs >= duty.resendAt) {
-    return lease.leftMs > leaseLeftAtSendMs(bounds)
-      ? {kind: 'send', window: unsent}
-      : {kind: 'renew'};
-  }
-  return decideCollection(duty, bounds, wallMs);
+  const unsettled = unsettledWindows(duty, bounds, time.wallMs);
+  const neverSent = unsettled.find(window => !duty.failed.has(window));
+  if (neverSent !== undefined) return sendStep(neverSent, lease.leftMs, bounds);
+  const step = decideCollection(duty, bounds, time);
+  if (step.kind !== 'wait') return step;
+  const retried = unsettled.find(window => {
+    const failed = duty.failed.get(window);
+    return failed !== undefined && time.now >= failed.retryAt;
+  });
+  return retried === undefined ? WAIT : sendStep(retried, lease.leftMs, bounds);
+}
+
+/** Sends a report if the lease outlasts it, and renews the lease otherwise. */
+function sendStep(
+  window: number,
+  leftMs: number,
+  bounds: UsageBounds,
+): UsageStep {
+  return leftMs > leaseLeftAtSendMs(bounds)
+    ? {kind: 'send', window}
+    : {kind: 'renew'};
 }
 
-function oldestUnsent(
+/** The windows with a record whose report is of use, the oldest first. */
+function unsettledWindows(
   {records, settled}: UsageDutyState,
   bounds: UsageBounds,
   wallMs: number,
-): number | undefined {
+): readonly number[] {
   const oldest = oldestUseful(wallMs, bounds);
-  const unsent = [...records.keys()].filter(
-    window => window >= oldest && !settled.has(window),
-  );
-  return unsent.length === 0 ? undefined : Math.min(...unsent);
+  return [...records.keys()]
+    .filter(window => window >= oldest && !settled.has(window))
+    .sort((a, b) => a - b);
 }
 
 function decideCollection(
   {collection, firstRecordable: first}: UsageDutyState,
   bounds: UsageBounds,
-  wallMs: number,
+  {wallMs, now}: UsageTime,
 ): UsageStep {
   const window = Math.max(first, oldestUseful(wallMs, bounds));
   if (wallMs < collectAt(window, bounds)) return WAIT;
@@ -141,5 +166,5 @@
   if (collection.state === 'complete') return {kind: 'record', window};
   if (collection.state === 'under-way') return WAIT;
   if (wallMs >= fixBy(window, bounds)) return {kind: 'record', window};
-  return wallMs >= collection.retryAt ? {kind: 'collect', window} : WAIT;
+  return now >= collection.retryAt ? {kind: 'collect', window} : WAIT;
 }
--- a/packages/gateway/src/testing/fake_usage_fleet.ts
+++ b/packages/gateway/src/testing/fake_usage_fleet.ts
@@ -50,6 +50,8 @@
   /** The true counts by window. */
   readonly begun = new Map<number, number>();
   reporterMode: 'answers' | 'loses-answers' | 'down' = 'answers';
+  /** The platform answers no call about this window. */
+  unansweredWindow: number | undefined;
 
   constructor(names: readonly string[]) {
     for (const name of names) this.start(name);
@@ -225,8 +227,12 @@
     super();
   }
 
-  override async send(report: UsageReport) {
-    const {received, reporterMode} = this.fleet;
+  override async send(report: UsageReport, timeoutMs: number) {
+    const {received, reporterMode, unansweredWindow} = this.fleet;
+    if (report.window === unansweredWindow) {
+      await sleep(timeoutMs);
+      return fail({kind: 'unknown-outcome', detail: 'no answer'} as const);
+    }
     if (this.vm.state === 'dead' || reporterMode === 'down') {
       return fail({kind: 'unavailable', detail: 'down'} as const);
     }
--- a/packages/gateway/src/usage/__tests__/report_task.test.ts
+++ b/packages/gateway/src/usage/__tests__/report_task.test.ts
@@ -146,6 +146,12 @@
       fleet.reporterMode = 'answers';
     },
   ],
+  [
+    'the platform never answers the report of one window',
+    fleet => {
+      fleet.unansweredWindow = FIRST + 3;
+    },
+  ],
   [
     'the wall clock of the holder is set forward',
     fleet => {
--- a/packages/gateway/src/usage/report_task.ts
+++ b/packages/gateway/src/usage/report_task.ts
@@ -1,5 +1,6 @@
 import {
   REPORT_TIMEOUT_MS,
+  ReportAttempts,
   decideUsageStep,
   deviationOf,
   dueAt,
@@ -40,8 +41,6 @@
 const COLLECT_RETRY_MS = 500;
 /** The pause after a write to the store that did not succeed. */
 const WRITE_RETRY_MS = 300;
-/** The pause after a report that was not accepted. */
-const RESEND_MS = 500;
 /** Key by which the VMs are ordered. */
 const ORDER_KEY = 'usage';
 
@@ -97,8 +96,7 @@
   /** A write or a report that has no answer yet. */
   private action: 'idle' | 'under-way' = 'idle';
   private collection: Collection | undefined;
-  private readonly settledWindows = new Set<number>();
-  private resendAt = -Infinity;
+  private readonly attempts = new ReportAttempts();
   private writeAt = -Infinity;
   private freeSince: number | undefined;
   /** Windows up to this one were settled or dropped; undefined without lease. */
@@ -159,13 +157,13 @@
       {
         lease,
         records,
-        settled: this.settledWindows,
-        resendAt: this.resendAt,
+        settled: this.attempts.settled,
+        failed: this.attempts.failed,
         firstRecordable,
         collection: this.collection,
       },
       bounds,
-      wallMs,
+      {wallMs, now},
     );
     this.perform(step, now, wallMs);
   }
@@ -275,7 +273,7 @@
     this.collection = {
       window,
       state: isComplete ? 'complete' : 'incomplete',
-      retryAt: usage.wallTimeAt(clock()) + COLLECT_RETRY_MS,
+      retryAt: clock() + COLLECT_RETRY_MS,
       answers,
       own,
     };
@@ -356,9 +354,10 @@
   ): void {
     this.action = 'idle';
     const {bounds, clock, usage} = this.deps;
-    const wallMs = usage.wallTimeAt(clock());
+    const now = clock();
+    const wallMs = usage.wallTimeAt(now);
     if (!result.ok && result.err.kind !== 'rejected') {
-      this.resendAt = wallMs + RESEND_MS;
+      this.attempts.noteFailure(window, now);
       this.log.unsent(window, result.err);
       return;
     }
@@ -366,7 +365,7 @@
     const outcome = result.ok ? sent : 'rejected';
     const err = result.ok ? undefined : result.err;
     this.log.answered(window, outcome, this.fence(), err);
-    this.settledWindows.add(window);
+    this.attempts.noteSettled(window);
     this.deps.onOutcome(outcome);
     this.schedule(0);
   }
@@ -378,10 +377,10 @@
   /** Gives up the windows whose report is too late to be of use. */
   private dropOld(firstRecordable: number, wallMs: number): void {
     const {bounds, onOutcome, view} = this.deps;
-    const {reviewedTo, settledWindows: settled} = this;
+    const {reviewedTo, attempts} = this;
     const records = view().rows.usage;
     const review = reviewDropped(
-      {reviewedTo, records, settled, firstRecordable},
+      {reviewedTo, records, settled: attempts.settled, firstRecordable},
       bounds,
       wallMs,
     );
@@ -390,8 +389,6 @@
       this.log.dropped(window);
       onOutcome('dropped');
     }
-    for (const window of settled) {
-      if (window <= review.reviewedTo) settled.delete(window);
-    }
+    attempts.removeUpTo(review.reviewedTo);
   }
 }
