Compare the holder's clock independently of its windows

Cause: the holder compared its clock only with the counts of a window. One whose clock is behind sees no window to collect, so it kept the lease and reported nothing until its clock had caught up.

Change: ClockComparison keeps the times of the other VMs relative to the steady clock. RankedLease takes the rank and the fence out of ReportTask.

--- a/packages/core/src/usage/__tests__/usage_step.test.ts
+++ b/packages/core/src/usage/__tests__/usage_step.test.ts
@@ -17,6 +17,7 @@
   failed: new Map(),
   firstRecordable: 99,
   collection: undefined,
+  comparison: 'not-due',
 };
 
 const COLLECTED = {window: 99, state: 'complete', retryAt: 0} as const;
@@ -33,6 +34,7 @@
   ['lease gets old', {...HELD, lease: {kind: 'held', leftMs: 2_500}}, END],
   ['window still open', HELD, END - 1],
   ['window just ended', HELD, END + 2_000],
+  ['clock behind', {...HELD, comparison: 'due'}, END - 600_000],
   ['time to collect', HELD, END + 2_500],
   ['collection under way', collecting('under-way'), END + 9_000],
   ['all answered', {...HELD, collection: COLLECTED}, END + 2_600],
--- a/packages/core/src/usage/index.ts
+++ b/packages/core/src/usage/index.ts
@@ -1,3 +1,4 @@
+export * from './clock_comparison.js';
 export * from './report_attempts.js';
 export * from './usage_bounds.js';
 export * from './usage_cleanup.js';
--- a/packages/core/src/usage/usage_step.ts
+++ b/packages/core/src/usage/usage_step.ts
@@ -80,6 +80,8 @@
   readonly failed: ReadonlyMap<number, FailedReport>;
   readonly firstRecordable: number;
   readonly collection: CollectionState | undefined;
+  /** Whether the VMs are to be asked for their time. */
+  readonly comparison: 'due' | 'not-due';
 }
 
 /** What a VM does next for the reports. */
@@ -87,6 +89,8 @@
   | {readonly kind: 'wait'}
   | {readonly kind: 'acquire'}
   | {readonly kind: 'renew'}
+  /** Asks all VMs for their wall-clock time. */
+  | {readonly kind: 'compare-clocks'}
   /** Asks the VMs that have not answered for their counts of a window. */
   | {readonly kind: 'collect'; readonly window: number}
   /** Records the counts of a window in the store. */
@@ -108,7 +112,8 @@
  * Decides the next step. A successor sends all recorded counts again that are
  * not given up, as it does not know which ones have arrived. A report that was
  * never sent goes first, and one that failed last: a call without an answer takes
- * its full time limit, which would make later windows late.
+ * its full time limit, which would make later windows late. Clocks are compared
+ * whatever this VM's clock shows: one that is behind has no window to collect.
  */
 export function decideUsageStep(
   duty: UsageDutyState,
@@ -123,6 +128,7 @@
   const unsettled = unsettledWindows(duty, bounds, time.wallMs);
   const neverSent = unsettled.find(window => !duty.failed.has(window));
   if (neverSent !== undefined) return sendStep(neverSent, lease.leftMs, bounds);
+  if (duty.comparison === 'due') return {kind: 'compare-clocks'};
   const step = decideCollection(duty, bounds, time);
   if (step.kind !== 'wait') return step;
   const retried = unsettled.find(window => {
--- a/packages/core/src/usage/wall_time.ts
+++ b/packages/core/src/usage/wall_time.ts
@@ -55,7 +55,7 @@
 }
 
 /** A VM that differs from others by less keeps its own time. */
-const MAX_DEVIATION_MS = 1_000;
+export const MAX_DEVIATION_MS = 1_000;
 
 /**
  * Returns by how much a VM corrects its estimate, given how far other VMs are
--- a/packages/gateway/src/usage/__tests__/report_task.test.ts
+++ b/packages/gateway/src/usage/__tests__/report_task.test.ts
@@ -170,6 +170,14 @@
       fleet.start(holder.name, 7_000);
     },
   ],
+  [
+    'the holder restarts with a wall clock that is behind',
+    fleet => {
+      const {holder} = fleet;
+      holder.kill();
+      fleet.start(holder.name, -600_000);
+    },
+  ],
   [
     'the store goes back to a copy without the last window and holder',
     async fleet => {
--- a/packages/gateway/src/usage/collect_counts.ts
+++ b/packages/gateway/src/usage/collect_counts.ts
@@ -1,4 +1,5 @@
-import type {ProcessCounts} from '@pistachiorill/core';
+import {sumCounts} from '@pistachiorill/core';
+import type {ProcessCounts, WorkspaceCounts} from '@pistachiorill/core';
 import type {PeerSet} from '../peers/peer_set.js';
 
 /** How many VMs are asked at the same time. */
@@ -37,3 +38,12 @@
   await Promise.all(Array.from({length: CONCURRENCY}, askNext));
   return collected;
 }
+
+/** The counts of all processes that this VM and the others know of. */
+export function totalCounts(
+  own: readonly ProcessCounts[] = [],
+  answers: CollectedCounts = new Map(),
+): WorkspaceCounts {
+  const others = [...answers.values()].flatMap(answer => answer.processes);
+  return sumCounts([...own, ...others]);
+}
--- a/packages/gateway/src/usage/report_task.ts
+++ b/packages/gateway/src/usage/report_task.ts
@@ -1,23 +1,18 @@
 import {
+  ClockComparison,
   REPORT_TIMEOUT_MS,
   ReportAttempts,
   decideUsageStep,
-  deviationOf,
   dueAt,
   firstRecordable,
   obsoleteRecords,
-  rankDelayMs,
-  rendezvousOrder,
   reviewDropped,
-  sumCounts,
-  usageLeaseTerms,
+  windowAt,
 } from '@pistachiorill/core';
 import type {
   CollectionState,
   ProcessCounts,
   Result,
-  UsageBounds,
-  UsageLeaseState,
   UsageStep,
 } from '@pistachiorill/core';
 import {Task, ask, settled} from '@pistachiorill/tasks';
@@ -25,13 +20,12 @@
 import type {Logger} from '@pistachiorill/telemetry';
 import {usageKey} from '../fleet/fleet_rows.js';
 import {isProven, isStoreResponsive, leaseEra} from '../fleet/fleet_view.js';
-import {LeaseRow, usageLease} from '../leadership/lease_row.js';
-import type {LeaseRowDependencies} from '../leadership/lease_row.js';
 import type {UsageAnswer} from '../peers/gateway_handlers.js';
-import type {PeerSet} from '../peers/peer_set.js';
 import type {UsageReportError, UsageReporter} from '../ports/usage_reporter.js';
-import {collectCounts} from './collect_counts.js';
+import {collectCounts, totalCounts} from './collect_counts.js';
 import type {CollectedCounts} from './collect_counts.js';
+import {RankedLease} from './ranked_lease.js';
+import type {RankedLeaseDependencies} from './ranked_lease.js';
 import {ReportLog} from './report_log.js';
 import type {LeaseWriteResult, UsageOutcome} from './report_log.js';
 import type {UsageTask} from './usage_task.js';
@@ -41,8 +35,6 @@
 const COLLECT_RETRY_MS = 500;
 /** The pause after a write to the store that did not succeed. */
 const WRITE_RETRY_MS = 300;
-/** Key by which the VMs are ordered. */
-const ORDER_KEY = 'usage';
 
 /** Messages that the report task handles. */
 export type ReportMessage =
@@ -53,6 +45,7 @@
       readonly own: readonly ProcessCounts[];
       readonly answers: CollectedCounts;
     }
+  | {readonly kind: 'compared'; readonly answers: CollectedCounts}
   | {
       readonly kind: 'written';
       readonly step: UsageStep;
@@ -67,10 +60,8 @@
   | {readonly kind: 'stop'};
 
 /** Collaborators of the report task. */
-export interface ReportDependencies extends LeaseRowDependencies {
-  readonly bounds: UsageBounds;
+export interface ReportDependencies extends RankedLeaseDependencies {
   readonly usage: UsageTask;
-  readonly peers: PeerSet;
   readonly reporter: UsageReporter;
   readonly clock: Clock;
   /** When the process started, by this VM's clock. */
@@ -90,22 +81,24 @@
 
 /** Sends the usage reports while this VM holds the usage lease. */
 export class ReportTask extends Task<ReportMessage> {
-  private readonly lease: LeaseRow;
+  private readonly lease: RankedLease;
   private readonly log: ReportLog;
   private phase: 'running' | 'stopped' = 'running';
   /** A write or a report that has no answer yet. */
   private action: 'idle' | 'under-way' = 'idle';
   private collection: Collection | undefined;
+  private readonly clocks = new ClockComparison();
+  /** A comparison that is not finished. */
+  private comparison: 'idle' | 'under-way' = 'idle';
   private readonly attempts = new ReportAttempts();
   private writeAt = -Infinity;
-  private freeSince: number | undefined;
   /** Windows up to this one were settled or dropped; undefined without lease. */
   private reviewedTo: number | undefined;
   private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly deps: ReportDependencies) {
     super();
-    this.lease = new LeaseRow(usageLease(usageLeaseTerms(deps.bounds)), deps);
+    this.lease = new RankedLease(deps);
     this.log = new ReportLog(deps.log);
   }
 
@@ -117,6 +110,10 @@
       case 'collected':
         this.collected(message);
         return;
+      case 'compared':
+        this.comparison = 'idle';
+        this.correctClock(message.answers);
+        return;
       case 'written':
         this.written(message);
         return;
@@ -132,6 +129,7 @@
 
   protected override onFailure(err: unknown): void {
     this.action = 'idle';
+    this.comparison = 'idle';
     this.collection = undefined;
     this.deps.onFailed(err);
     this.schedule(TICK_INTERVAL_MS);
@@ -146,13 +144,18 @@
     this.schedule(TICK_INTERVAL_MS);
     const {bounds, clock, view} = this.deps;
     const now = clock();
-    if (!isStoreResponsive(view(), now)) this.freeSince = undefined;
+    this.lease.noteStore(now);
     if (!isProven(view(), now) || this.action === 'under-way') return;
     const wallMs = this.deps.usage.wallTimeAt(now);
-    const lease = this.leaseState(now);
+    const lease = this.lease.state(now);
     const records = view().rows.usage;
     const firstRecordable = this.firstRecordable(now);
-    if (lease.kind === 'held') this.dropOld(firstRecordable, wallMs);
+    if (lease.kind === 'held') {
+      this.dropOld(firstRecordable, wallMs);
+    } else {
+      this.reviewedTo = undefined;
+      this.clocks.reset();
+    }
     const step = decideUsageStep(
       {
         lease,
@@ -161,6 +164,7 @@
         failed: this.attempts.failed,
         firstRecordable,
         collection: this.collection,
+        comparison: this.isComparisonDue(now) ? 'due' : 'not-due',
       },
       bounds,
       {wallMs, now},
@@ -185,34 +189,13 @@
     return firstRecordable(view().rows.usage, start, bounds);
   }
 
-  /** The lease as this VM sees it; a free one is waited for by rank. */
-  private leaseState(now: number): UsageLeaseState {
-    const leftMs = this.lease.leftMs(now);
-    if (leftMs > 0) return {kind: 'held', leftMs};
-    const decision = this.lease.decide(now);
-    if (decision.kind !== 'take') {
-      this.freeSince = undefined;
-      this.reviewedTo = undefined;
-      return {kind: 'not-available'};
-    }
-    this.freeSince ??= now;
-    const isOwn = this.lease.current?.value.holder === this.deps.vm;
-    const waitMs = isOwn ? 0 : this.rankDelay();
-    return now - this.freeSince >= waitMs
-      ? {kind: 'free'}
-      : {kind: 'not-available'};
-  }
-
-  private rankDelay(): number {
-    const {vm, peers} = this.deps;
-    const names = peers.names.filter(name => !peers.isUnresponsive(name));
-    return rankDelayMs(rendezvousOrder(ORDER_KEY, [vm, ...names]).indexOf(vm));
-  }
-
   private perform(step: UsageStep, now: number, wallMs: number): void {
     switch (step.kind) {
       case 'wait':
         return;
+      case 'compare-clocks':
+        this.compareClocks(now);
+        return;
       case 'collect':
         this.collect(step.window);
         return;
@@ -229,6 +212,40 @@
     }
   }
 
+  private isComparisonDue(now: number): boolean {
+    if (this.comparison === 'under-way') return false;
+    return this.clocks.isDue(this.deps.usage.wallTimeAt(0), now);
+  }
+
+  /** Asks all VMs for their time; the counts in their answers are not used. */
+  private compareClocks(now: number): void {
+    const {bounds, clock, peers, usage} = this.deps;
+    this.comparison = 'under-way';
+    const wallTime = (): number => usage.wallTimeAt(clock());
+    const window = windowAt(usage.wallTimeAt(now), bounds);
+    this.runInBackground(async () => {
+      const {names} = peers;
+      const answers = await collectCounts(window, names, peers, wallTime);
+      this.tell({kind: 'compared', answers});
+    });
+  }
+
+  /** Returns by how much this VM's wall-clock time was corrected. */
+  private correctClock(answers: CollectedCounts): number {
+    const {clock, peers, usage} = this.deps;
+    const now = clock();
+    const ownOffset = usage.wallTimeAt(0);
+    const aheadMs = new Map([...answers].map(([vm, a]) => [vm, a.aheadMs]));
+    this.clocks.note(aheadMs, ownOffset, now);
+    const byMs = this.clocks.deviation(peers.names, ownOffset, now);
+    if (byMs === 0) return 0;
+    // The counts may be those of a window that has not ended.
+    this.collection = undefined;
+    this.log.corrected(byMs);
+    usage.tell({kind: 'correct', byMs});
+    return byMs;
+  }
+
   /** Asks this VM's task and the VMs that have not answered yet. */
   private collect(window: number): void {
     const {clock, peers, usage} = this.deps;
@@ -259,16 +276,9 @@
     answers: newAnswers,
   }: Extract<ReportMessage, {kind: 'collected'}>): void {
     if (this.collection?.window !== window) return;
-    const {clock, peers, usage} = this.deps;
+    const {clock, peers} = this.deps;
     const answers = new Map([...this.collection.answers, ...newAnswers]);
-    const byMs = deviationOf([...answers.values()].map(a => a.aheadMs));
-    if (byMs !== 0) {
-      // The counts may be those of a window that has not ended.
-      this.collection = undefined;
-      this.log.corrected(byMs);
-      usage.tell({kind: 'correct', byMs});
-      return;
-    }
+    if (this.correctClock(newAnswers) !== 0) return;
     const isComplete = peers.names.every(name => answers.has(name));
     this.collection = {
       window,
@@ -293,22 +303,17 @@
 
   private async writeLease(step: UsageStep, now: number, wallMs: number) {
     if (step.kind === 'acquire') {
-      const decision = this.lease.decide(now);
+      const decision = this.lease.row.decide(now);
       if (decision.kind !== 'take') return undefined;
-      return this.lease.acquire(decision.fence, now);
+      return this.lease.row.acquire(decision.fence, now);
     }
-    if (step.kind !== 'record') return this.lease.extend(now);
+    if (step.kind !== 'record') return this.lease.row.extend(now);
     const {bounds, view} = this.deps;
     const {collection} = this;
-    const own = collection?.own ?? [];
-    const answers: CollectedCounts = collection?.answers ?? new Map();
-    const counts = sumCounts([
-      ...own,
-      ...[...answers.values()].flatMap(answer => answer.processes),
-    ]);
-    const {era} = this.lease;
+    const counts = totalCounts(collection?.own, collection?.answers);
+    const {era} = this.lease.row;
     const key = usageKey(step.window);
-    return this.lease.extend(now, {
+    return this.lease.row.extend(now, {
       expected: new Map([[key, 0]]),
       puts: new Map([[key, JSON.stringify({counts, era})]]),
       removals: obsoleteRecords(view().rows.usage, bounds, wallMs).map(
@@ -325,7 +330,7 @@
     const {clock, peers, onMissing} = this.deps;
     const answers = this.collection?.answers;
     const missing = peers.names.filter(name => !answers?.has(name));
-    this.log.written(step, this.fence(), result, missing);
+    this.log.written(step, this.lease.fence, result, missing);
     if (!result?.ok) {
       this.writeAt = clock() + WRITE_RETRY_MS;
       return;
@@ -338,7 +343,7 @@
   private send(window: number): void {
     const {reporter, view, vm} = this.deps;
     const record = view().rows.usage.get(window);
-    const fence = this.fence();
+    const fence = this.lease.fence;
     if (!record || fence === undefined) return;
     this.action = 'under-way';
     const report = {window, counts: record.counts, holder: vm, fence};
@@ -364,16 +369,12 @@
     const sent = wallMs <= dueAt(window, bounds) ? 'sent' : 'late';
     const outcome = result.ok ? sent : 'rejected';
     const err = result.ok ? undefined : result.err;
-    this.log.answered(window, outcome, this.fence(), err);
+    this.log.answered(window, outcome, this.lease.fence, err);
     this.attempts.noteSettled(window);
     this.deps.onOutcome(outcome);
     this.schedule(0);
   }
 
-  private fence(): number | undefined {
-    return this.lease.current?.value.fence;
-  }
-
   /** Gives up the windows whose report is too late to be of use. */
   private dropOld(firstRecordable: number, wallMs: number): void {
     const {bounds, onOutcome, view} = this.deps;
