--- a/packages/core/src/usage/index.ts
+++ b/packages/core/src/usage/index.ts
@@ -1,3 +1,5 @@
+export * from './clock_comparison.js';
+export * from './report_attempts.js';
 export * from './usage_bounds.js';
 export * from './usage_cleanup.js';
 export * from './usage_counts.js';
