--- a/packages/launcher/src/fleet.ts
+++ b/packages/launcher/src/fleet.ts
@@ -52,6 +52,8 @@
   private readonly folder = mkdtempSync(join(tmpdir(), 'pistachiorill-'));
   private platform: ProgramProcess | undefined;
   platformUrl = '';
+  /** The platform's address in the VMs' settings, if it is not `platformUrl`. */
+  vmPlatformUrl: string | undefined;
 
   /**
    * `buildFolder` contains the bundled programs. With `links` set to `members`,
@@ -338,7 +340,7 @@
       `peers = 127.0.0.1:${vm.peerPort}`,
       `http = 127.0.0.1:${vm.httpPort}`,
       '[platform]',
-      `url = ${this.platformUrl}`,
+      `url = ${this.vmPlatformUrl ?? this.platformUrl}`,
       '[routing]',
       `mode = ${this.routing}`,
       '[backend]',
@@ -349,10 +351,10 @@
       ...(this.links === 'members'
         ? [`local_address = ${this.localAddressOf(vm.name)}`]
         : []),
+      '[limits]',
+      ...renderEntries(this.profile.limits),
       '[policy]',
-      ...Object.entries(this.profile.policy ?? {}).map(
-        ([key, value]) => `${key} = ${value}`,
-      ),
+      ...renderEntries(this.profile.policy),
     ].join('\n');
   }
 
@@ -365,6 +367,10 @@
   }
 }
 
+function renderEntries(entries: Readonly<Record<string, string>> = {}) {
+  return Object.entries(entries).map(([key, value]) => `${key} = ${value}`);
+}
+
 async function waitUntilReady(httpPort: number): Promise<void> {
   const until = Date.now() + READY_TIMEOUT_MS;
   for (;;) {
--- a/packages/launcher/src/profile.ts
+++ b/packages/launcher/src/profile.ts
@@ -20,6 +20,8 @@
   readonly applyLagMs?: number;
   /** The `[policy]` section of the VMs' settings. */
   readonly policy?: Readonly<Record<string, string>>;
+  /** The `[limits]` section of the VMs' settings. */
+  readonly limits?: Readonly<Record<string, string>>;
   /** Node.js options of the VM processes, such as `--cpu-prof`. */
   readonly vmNodeOptions?: readonly string[];
 }
--- a/packages/launcher/src/program_process.ts
+++ b/packages/launcher/src/program_process.ts
@@ -57,6 +57,17 @@
     await this.exited;
   }
 
+  /** The process id; 0 if the process could not be started. */
+  get pid(): number {
+    return this.child.pid ?? 0;
+  }
+
+  /** Whether the process still runs. */
+  get state(): 'running' | 'ended' {
+    const {exitCode, signalCode} = this.child;
+    return exitCode === null && signalCode === null ? 'running' : 'ended';
+  }
+
   /** The most recent output of the process. */
   get log(): string {
     return this.output.join('');
