Limit what clients of the MySQL daemon can occupy

Cause: packets up to 16 MiB were buffered for each connection, a login likewise, commands that need no backend were queued without a limit, answers were buffered for clients that do not read, and neither connections nor request bodies of other VMs were limited. Change: decisions in core/admission (limits derived from the memory and descriptors of the machine, connections, packets, a budget of reservations, whom to close, log lines). mysql2 gets one packet at a time from a PacketReader, which stops reading while a request is answered, while an answer is not read, and until the bytes of a packet over 16 KiB are reserved; a packet over the limit is discarded and refused as too large as before. Near the limits, stalled connections and those that hold the most are closed; never a transaction whose client reads. Servers for VMs and status bound their connections, bodies and requests sent ahead. A time limit that passes while the process was busy reads first what has arrived.

--- a/packages/core/src/index.ts
+++ b/packages/core/src/index.ts
@@ -2,9 +2,13 @@
  * Decisions without I/O: statements, sessions, routing, quotas, failover,
  * membership and configuration.
  */
+export {ByteBudget} from './admission/byte_budget.js';
+export * from './admission/client_limits.js';
 export {DeficitRoundRobinPolicy} from './admission/deficit_round_robin_policy.js';
 export * from './admission/expected_wait.js';
 export {FifoPolicy} from './admission/fifo_policy.js';
+export * from './admission/limit_decisions.js';
+export {LimitLog} from './admission/limit_log.js';
 export {QueuePolicy} from './admission/queue_policy.js';
 export type {EnqueueOutcome, QueueEntry} from './admission/queue_policy.js';
 export * from './authority/authority_state.js';
--- a/packages/core/src/statement/sql_scanner.ts
+++ b/packages/core/src/statement/sql_scanner.ts
@@ -21,6 +21,11 @@
   readonly part: 'string' | 'name' | 'comment';
 };
 
+const WORD_PATTERN: readonly [SqlTokenKind, RegExp] = [
+  'word',
+  /[\p{L}\p{N}_$]+/uy,
+];
+
 const TOKEN_PATTERNS: ReadonlyArray<readonly [SqlTokenKind, RegExp]> = [
   ['executable-comment', /\/\*[!+M][\s\S]*?\*\//y],
   ['comment', /\/\*[\s\S]*?\*\//y],
@@ -29,9 +34,21 @@
   ['quoted-name', /`(?:[^`]|``)*`/y],
   ['system-variable', /@@[\w.$]+/y],
   ['user-variable', /@(?:[\w.$]+|'[^']*'|"[^"]*"|`[^`]*`)?/y],
-  ['word', /[\p{L}\p{N}_$]+/uy],
+  WORD_PATTERN,
 ];
 
+/** The only pattern that matches at an ASCII letter or digit. */
+const WORD_PATTERNS = [WORD_PATTERN];
+
+/**
+ * Symbols that start no other token. Their tokens are shared and found without
+ * the patterns, as a statement within the limit may consist of a million.
+ */
+const SYMBOL_TOKENS: ReadonlyMap<string, SqlToken> = new Map(
+  [...',()=<>+*;.!%&|^~?[]{}:'].map(text => [text, {kind: 'symbol', text}]),
+);
+const ASCII_WORD = /[A-Za-z0-9_$]/;
+
 const OPENERS: ReadonlyArray<readonly [string, 'string' | 'name' | 'comment']> =
   [
     ["'", 'string'],
@@ -49,7 +66,8 @@
   const tokens: SqlToken[] = [];
   let index = 0;
   while (index < sql.length) {
-    const token = tokenAt(sql, index);
+    const token =
+      SYMBOL_TOKENS.get(sql[index] as string) ?? tokenAt(sql, index);
     if (token) {
       tokens.push(token);
       index += token.text.length;
@@ -65,7 +83,10 @@
 }
 
 function tokenAt(sql: string, index: number): SqlToken | undefined {
-  for (const [kind, pattern] of TOKEN_PATTERNS) {
+  const patterns = ASCII_WORD.test(sql[index] as string)
+    ? WORD_PATTERNS
+    : TOKEN_PATTERNS;
+  for (const [kind, pattern] of patterns) {
     pattern.lastIndex = index;
     const match = pattern.exec(sql);
     if (match) return {kind, text: match[0]};
--- a/packages/document/src/process_settings.ts
+++ b/packages/document/src/process_settings.ts
@@ -8,6 +8,8 @@
 import {ADDRESS} from './section_schemas.js';
 
 const MAX_MS = 3_600_000;
+const MAX_MEMORY_MB = 16_777_216;
+const MAX_DESCRIPTORS = 10_000_000;
 const MAX_STATEMENT_BYTES = 64 * 1_048_576;
 
 const NAME = z
@@ -61,6 +63,15 @@
       statement_bytes: wholeNumber(MAX_STATEMENT_BYTES).prefault('1048576'),
       transaction_idle_ms: wholeNumber(MAX_MS).prefault('30000'),
       grace_ms: wholeNumber(MAX_MS).prefault('20000'),
+      /** Memory of the machine; by default as the system reports it. */
+      memory_mb: wholeNumber(MAX_MEMORY_MB).optional(),
+      /** Descriptors of the process; by default as the system reports them. */
+      descriptors: wholeNumber(MAX_DESCRIPTORS).optional(),
+      client_connections: wholeNumber(MAX_DESCRIPTORS).optional(),
+      address_connections: wholeNumber(MAX_DESCRIPTORS).optional(),
+      login_timeout_ms: wholeNumber(MAX_MS).prefault('10000'),
+      packet_timeout_ms: wholeNumber(MAX_MS).prefault('30000'),
+      read_timeout_ms: wholeNumber(MAX_MS).prefault('30000'),
     })
     .prefault({}),
   routing: z
--- a/packages/entry/src/caller/client_error.ts
+++ b/packages/entry/src/caller/client_error.ts
@@ -52,3 +52,11 @@
     message: `${outcome}: ${refusal.kind}: ${refusal.detail}`,
   };
 }
+
+/** The refusal of a statement that is larger than the limit. */
+export function oversizedRefusal(bytes: number, limitBytes: number): Refusal {
+  return {
+    kind: 'too-large',
+    detail: `the statement has ${bytes} bytes, the limit is ${limitBytes}`,
+  };
+}
--- a/packages/entry/src/caller/connection_task.ts
+++ b/packages/entry/src/caller/connection_task.ts
@@ -2,12 +2,10 @@
 import type {
   Caller,
   ParsedStatement,
-  ReceivedStatement,
   Refusal,
   Result,
   RoutedStatement,
   SeenPositions,
-  StatementContext,
   StatementReply,
   StatementResult,
 } from '@pistachiorill/core';
@@ -18,12 +16,13 @@
   RawServerConnection,
 } from '@pistachiorill/mysql';
 import {Task} from '@pistachiorill/tasks';
-import type {Clock, Pipeline} from '@pistachiorill/tasks';
-import type {Logger, Metrics} from '@pistachiorill/telemetry';
 import type {TransactionHandle} from '../group/group_executor.js';
 import {authenticateCaller} from './authenticate_caller.js';
-import {toClientError} from './client_error.js';
-import type {ExecutorLookup} from './execute_filter.js';
+import {oversizedRefusal, toClientError} from './client_error.js';
+import type {
+  ConnectionDependencies,
+  ConnectionMessage,
+} from './connection_dependencies.js';
 import {
   sessionTokenOf,
   sessionTokenResult,
@@ -33,31 +32,6 @@
 /** The version that the handshake reports to MySQL clients. */
 const SERVER_VERSION = '8.0.0-pistachiorill';
 
-/** Messages that a `ConnectionTask` handles. */
-export type ConnectionMessage =
-  | {readonly kind: 'query'; readonly sql: string; readonly receivedAt: number}
-  | {readonly kind: 'unsupported'; readonly reason: string}
-  /** The configuration or the lifecycle of this VM has changed. */
-  | {readonly kind: 'context-changed'}
-  /** The idle time limit of the open transaction has passed. */
-  | {readonly kind: 'transaction-idle'}
-  | {readonly kind: 'closed'};
-
-/** The pipelines and collaborators that all connections of a VM share. */
-export interface ConnectionDependencies {
-  readonly parse: Pipeline<ReceivedStatement, ParsedStatement, Refusal>;
-  readonly route: Pipeline<ParsedStatement, RoutedStatement, Refusal>;
-  readonly execute: Pipeline<RoutedStatement, StatementReply, Refusal>;
-  readonly findExecutor: ExecutorLookup;
-  /** Undefined until the first configuration is applied. */
-  readonly context: () => StatementContext | undefined;
-  /** How long a transaction may stay idle before it is rolled back. */
-  readonly transactionIdleMs: number;
-  readonly clock: Clock;
-  readonly log: Logger;
-  readonly metrics: Metrics;
-}
-
 /**
  * The state of the connection's transaction as its caller sees it. After BEGIN
  * it is `begun`, and `open` from its first statement on. A `lost` transaction
@@ -77,7 +51,8 @@
 
 /** Owns the connection of one caller, its transaction and its session. */
 export class ConnectionTask extends Task<ConnectionMessage> {
-  private readonly connection: ServerConnection;
+  /** The connection to the caller. */
+  readonly connection: ServerConnection;
   private readonly id: string;
   private caller: Caller = {kind: 'anonymous'};
   private databaseName = '';
@@ -93,12 +68,19 @@
   ) {
     super();
     this.id = String(id);
-    this.connection = new ServerConnection(raw, id, {
-      onHandshake: req => this.authenticate(req),
-      onQuery: sql => this.tell({kind: 'query', sql, receivedAt: deps.clock()}),
-      onUnsupported: reason => this.tell({kind: 'unsupported', reason}),
-      onClose: () => this.tell({kind: 'closed'}),
-    });
+    this.connection = new ServerConnection(
+      raw,
+      id,
+      {
+        onHandshake: req => this.authenticate(req),
+        onQuery: sql =>
+          this.tell({kind: 'query', sql, receivedAt: deps.clock()}),
+        onUnsupported: reason => this.tell({kind: 'unsupported', reason}),
+        onOversized: bytes => this.tell({kind: 'oversized', bytes}),
+        onClose: () => this.tell({kind: 'closed'}),
+      },
+      deps.guard,
+    );
     this.connection.handshake(SERVER_VERSION);
   }
 
@@ -110,6 +92,9 @@
       case 'unsupported':
         this.refuse({kind: 'unsupported', detail: message.reason});
         return;
+      case 'oversized':
+        this.refuseOversized(message.bytes);
+        return;
       case 'context-changed':
         this.closeIfNotPermitted();
         return;
@@ -121,6 +106,7 @@
         if (this.transaction.kind === 'open') {
           await this.transaction.handle.rollback();
         }
+        this.connection.dispose();
         this.onClosed();
         return;
     }
@@ -196,6 +182,7 @@
     if (this.transaction.kind !== 'open') return;
     await this.transaction.handle.rollback();
     this.transaction = {kind: 'lost'};
+    this.connection.setTransaction('none');
   }
 
   /** Restarts the time limit of an open transaction for its next statement. */
@@ -224,6 +211,10 @@
     });
     const result = parsed.ok ? await this.dispatch(parsed.value) : parsed;
     this.countStatement(result);
+    const {kind} = this.transaction;
+    this.connection.setTransaction(
+      kind === 'begun' || kind === 'open' ? 'open' : 'none',
+    );
     if (result.ok) {
       this.connection.sendResult(result.value);
     } else {
@@ -386,6 +377,13 @@
     return sessionTokenOf(this.caller, this.seen, configuration);
   }
 
+  private refuseOversized(bytes: number): void {
+    const limit = this.deps.guard.limits.packetBytes - 1;
+    const refusal = oversizedRefusal(bytes, limit);
+    this.countStatement(fail(refusal));
+    this.refuse(refusal);
+  }
+
   private refuse(refusal: Refusal): void {
     this.connection.sendError(toClientError(refusal));
   }
--- a/packages/entry/src/daemon/entry_daemon.ts
+++ b/packages/entry/src/daemon/entry_daemon.ts
@@ -1,14 +1,6 @@
 import {randomUUID} from 'node:crypto';
 import {performance} from 'node:perf_hooks';
-import {
-  AcceptFilter,
-  AuthenticateFilter,
-  MatchRouteFilter,
-  ParseOptionsFilter,
-  Random,
-  ledgerKey,
-  ok,
-} from '@pistachiorill/core';
+import {AuthenticateFilter, Random, ledgerKey, ok} from '@pistachiorill/core';
 import type {
   DrainReason,
   GroupView,
@@ -21,19 +13,22 @@
 } from '@pistachiorill/core';
 import type {ProcessSettings} from '@pistachiorill/document';
 import {MysqlServer} from '@pistachiorill/mysql';
+import type {RawServerConnection} from '@pistachiorill/mysql';
 import {
   HttpObjectStore,
   HttpTableService,
   HttpVmList,
 } from '@pistachiorill/store';
 import type {TableService, VmStatus} from '@pistachiorill/store';
-import {Pipeline, ask} from '@pistachiorill/tasks';
+import {ask} from '@pistachiorill/tasks';
 import type {Clock} from '@pistachiorill/tasks';
 import {AuditTask, Metrics, createLogger} from '@pistachiorill/telemetry';
 import type {AuditEntry, Logger} from '@pistachiorill/telemetry';
+import {ClientRegistry} from '../caller/client_registry.js';
 import {ConnectionTask} from '../caller/connection_task.js';
-import type {ConnectionDependencies} from '../caller/connection_task.js';
-import {ExecuteFilter} from '../caller/execute_filter.js';
+import type {ConnectionDependencies} from '../caller/connection_dependencies.js';
+import {LimitReporter} from '../caller/limit_reporter.js';
+import {createStatementPipelines} from '../caller/create_statement_pipelines.js';
 import type {ExecutorLookup} from '../caller/execute_filter.js';
 import {ConfigurationTask} from '../configuration/configuration_task.js';
 import type {AppliedDocument} from '../configuration/configuration_task.js';
@@ -45,11 +40,17 @@
 import type {MembershipView} from '../membership/membership_view.js';
 import {QuotaSubsystem} from '../quota/quota_subsystem.js';
 import {GroupDirectory} from '../routing/group_directory.js';
+import {flushAudit} from './flush_audit.js';
 import {createOwnedGroup} from './create_owned_group.js';
+import {
+  clientLimitsOf,
+  peerLimitsOf,
+  statusLimitsOf,
+} from './machine_limits.js';
 import {PeerSubsystem} from './peer_subsystem.js';
 
-/** Limits the wait for an unavailable store when the VM stops. */
-const FINAL_FLUSH_TIMEOUT_MS = 1_000;
+/** Connections beyond the limit that get an error. */
+const REFUSABLE_CONNECTIONS = 16;
 /** Spreads the audit writes of the fleet over time; see `AuditOptions`. */
 const MAX_AUDIT_DELAY_MS = 5_000;
 
@@ -69,12 +70,13 @@
   private readonly server: MysqlServer;
   private readonly status: StatusServer;
   private readonly connections = new Set<ConnectionTask>();
+  private readonly clients: ClientRegistry;
   private readonly table: TableService;
   private readonly peers: PeerSubsystem;
   private readonly quota: QuotaSubsystem;
   private readonly groups: GroupDirectory;
   private current: VersionedConfiguration | undefined;
-  /** The applied document, served to peers that cannot read the store. */
+  /** The applied document, served to peers without the store. */
   private document: AppliedDocument | undefined;
   private drainReasons: readonly DrainReason[] = [];
   /** The highest configuration version that any VM has reported. */
@@ -82,6 +84,10 @@
 
   constructor(private readonly settings: ProcessSettings) {
     this.log = createLogger(settings.vm.name, settings.log.level);
+    const limits = clientLimitsOf(settings);
+    const {clock, metrics, log} = this;
+    const reporter = new LimitReporter(clock, log, metrics);
+    this.clients = new ClientRegistry({limits, clock, reporter, metrics});
     const endpoint = {
       baseUrl: settings.platform.url,
       timeoutMs: settings.platform.timeout_ms,
@@ -108,8 +114,8 @@
         this.metrics.configurationReadTime.setToCurrentTime();
         this.peers.recordVersionRead(read);
       },
-      clock: this.clock,
-      log: this.log,
+      clock,
+      log,
     });
     this.lifecycle = new LifecycleTask({
       vm: vm.name,
@@ -120,9 +126,14 @@
     });
     this.peers = new PeerSubsystem({
       settings,
+      limits: {
+        ...peerLimitsOf(limits),
+        onExceeded: (limit, address) =>
+          reporter.report('peers', limit, address),
+      },
       list: new HttpVmList(endpoint),
-      clock: this.clock,
-      log: this.log,
+      clock,
+      log,
       payloads: NO_PAYLOADS,
       services: {
         configuration: async ({hash}) =>
@@ -149,8 +160,8 @@
       updateAuthority: event => this.peers.updateAuthority(event),
       activity: () => this.activity,
       record: (change, operationId) => this.record(change, operationId),
-      clock: this.clock,
-      log: this.log,
+      clock,
+      log,
     });
     this.groups = new GroupDirectory({
       mode: settings.routing.mode,
@@ -159,8 +170,8 @@
         createOwnedGroup(database, {
           settings,
           table: this.table,
-          clock: this.clock,
-          log: this.log,
+          clock,
+          log,
           reauthenticate: statement => this.recheck(statement),
           connectionAllowanceOf: server =>
             this.groups.connectionAllowanceFor(database, server),
@@ -170,15 +181,10 @@
         }),
     });
     const connectionDeps = this.connectionDeps();
-    this.server = new MysqlServer((raw, id) => {
-      const task: ConnectionTask = new ConnectionTask(
-        raw,
-        id,
-        connectionDeps,
-        () => this.connections.delete(task),
-      );
-      this.connections.add(task);
-    });
+    this.server = new MysqlServer(
+      (raw, id) => this.accept(raw, id, connectionDeps),
+      limits.clientConnections + REFUSABLE_CONNECTIONS,
+    );
     this.status = new StatusServer(
       this.metrics,
       () =>
@@ -188,6 +194,8 @@
           ? 'ready'
           : 'not-ready',
       () => this.report(),
+      statusLimitsOf(limits),
+      (limit, address) => reporter.report('http', limit, address),
     );
   }
 
@@ -217,21 +225,23 @@
     await this.peers.stop();
     this.groups.close();
     this.configurationPeers.close();
-    await this.flushAudit();
+    await flushAudit(this.audit);
     this.status.close();
     this.log.info({event: 'entry.stopped'}, 'entry stopped');
   }
 
-  private async flushAudit(): Promise<void> {
-    const flushed = ask<number>(reply =>
-      this.audit.tell({kind: 'flush', reply}),
-    );
-    let timer: NodeJS.Timeout | undefined;
-    const limit = new Promise<void>(resolve => {
-      timer = setTimeout(resolve, FINAL_FLUSH_TIMEOUT_MS);
+  private accept(
+    raw: RawServerConnection,
+    id: number,
+    deps: ConnectionDependencies,
+  ): void {
+    if (this.clients.admit(raw) === 'refused') return;
+    const task: ConnectionTask = new ConnectionTask(raw, id, deps, () => {
+      this.connections.delete(task);
+      this.clients.remove(id);
     });
-    await Promise.race([flushed, limit]);
-    clearTimeout(timer);
+    this.connections.add(task);
+    this.clients.add(id, task.connection);
   }
 
   private get activity(): 'idle' | 'busy' {
@@ -246,19 +256,18 @@
 
   private connectionDeps(): ConnectionDependencies {
     const {clock} = this;
-    const executors: ExecutorLookup = database =>
-      this.groups.executorFor(database);
+    const executors: ExecutorLookup = name => this.groups.executorFor(name);
     return {
-      parse: Pipeline.of(
-        new AcceptFilter(this.settings.limits.statement_bytes),
+      ...createStatementPipelines({
+        statementBytes: this.settings.limits.statement_bytes,
+        authenticate: this.authenticate,
+        quota: this.quota.filter,
+        executors,
         clock,
-      )
-        .then(this.authenticate)
-        .then(new ParseOptionsFilter()),
-      route: Pipeline.of(new MatchRouteFilter(), clock).then(this.quota.filter),
-      execute: Pipeline.of(new ExecuteFilter(executors), clock),
+      }),
       findExecutor: executors,
       context: () => this.context(),
+      guard: this.clients,
       transactionIdleMs: this.settings.limits.transaction_idle_ms,
       clock,
       log: this.log,
--- a/packages/entry/src/daemon/peer_subsystem.ts
+++ b/packages/entry/src/daemon/peer_subsystem.ts
@@ -9,6 +9,7 @@
 } from '@pistachiorill/core';
 import type {ProcessSettings} from '@pistachiorill/document';
 import {PeerServer, servedPeerRouter} from '@pistachiorill/peers';
+import type {PeerServerLimits} from '@pistachiorill/peers';
 import type {ListedVm, VmList} from '@pistachiorill/store';
 import {ask} from '@pistachiorill/tasks';
 import type {Clock} from '@pistachiorill/tasks';
@@ -29,6 +30,7 @@
 /** The collaborators of the peer subsystem. */
 export interface PeerSubsystemDependencies {
   readonly settings: ProcessSettings;
+  readonly limits: PeerServerLimits;
   readonly list: VmList;
   readonly clock: Clock;
   readonly log: Logger;
@@ -99,6 +101,7 @@
         new EntryPeerHandlers(this.membership, this.owner, deps.services),
       ),
       onFault,
+      deps.limits,
     );
   }
 
--- a/packages/entry/src/http/status_server.ts
+++ b/packages/entry/src/http/status_server.ts
@@ -1,6 +1,7 @@
-import {createServer} from 'node:http';
 import type {Server} from 'node:http';
 import {splitAddress} from '@pistachiorill/mysql';
+import {createLimitedHttpServer} from '@pistachiorill/peers';
+import type {HttpServerLimits, OnExceeded} from '@pistachiorill/peers';
 import type {VmStatus} from '@pistachiorill/store';
 import type {Metrics} from '@pistachiorill/telemetry';
 
@@ -15,8 +16,10 @@
     metrics: Metrics,
     readiness: () => Readiness,
     status: () => Promise<VmStatus>,
+    limits: HttpServerLimits,
+    onExceeded: OnExceeded,
   ) {
-    this.server = createServer((req, res) => {
+    this.server = createLimitedHttpServer(limits, onExceeded, (req, res) => {
       switch (req.url) {
         case '/healthz':
           res.writeHead(200).end('ok\n');
--- a/packages/mysql/src/mysql_server.ts
+++ b/packages/mysql/src/mysql_server.ts
@@ -1,7 +1,7 @@
 import * as mysql2 from 'mysql2';
 import type {Server} from 'node:net';
 import {splitAddress} from './backend_connection.js';
-import type {RawServerConnection} from './server_connection.js';
+import type {RawServerConnection} from './raw_server_connection.js';
 
 interface RawServer {
   readonly _server: Server;
@@ -15,8 +15,17 @@
   private readonly raw = createRawServer();
   private nextId = 1;
 
-  /** Calls `onConnection` with each accepted connection and its unique id. */
-  constructor(onConnection: (raw: RawServerConnection, id: number) => void) {
+  /**
+   * Calls `onConnection` with each accepted connection and its unique id. More
+   * than `maxConnections` at a time are closed at once.
+   */
+  constructor(
+    onConnection: (raw: RawServerConnection, id: number) => void,
+    maxConnections?: number,
+  ) {
+    if (maxConnections !== undefined) {
+      this.raw._server.maxConnections = maxConnections;
+    }
     this.raw.on('connection', raw => {
       onConnection(raw, this.nextId);
       this.nextId += 1;
--- a/packages/mysql/src/server_connection.ts
+++ b/packages/mysql/src/server_connection.ts
@@ -1,6 +1,23 @@
-import type {Socket} from 'node:net';
-import type {ResultColumn, StatementResult} from '@pistachiorill/core';
+import type {
+  ConnectionUsage,
+  ExceededLimit,
+  ResultColumn,
+  StatementResult,
+} from '@pistachiorill/core';
+import {ClientTimer} from './client_timer.js';
+import {SingleConnectionGuard} from './connection_guard.js';
+import type {ConnectionGuard, GuardedConnection} from './connection_guard.js';
+import {LIMIT_ERRORS, OVERLOADED, OVERSIZED} from './limit_errors.js';
+import type {ClientError} from './limit_errors.js';
+import {PacketReader} from './packet_reader.js';
 import {RawPacket} from './raw_packet.js';
+import type {
+  HandshakeDone,
+  RawHandshake,
+  RawPacketParser,
+  RawServerConnection,
+  ServerConnectionEvents,
+} from './raw_server_connection.js';
 
 /** Offered protocol features, without compression, TLS or multi-statements. */
 const CAPABILITIES = [
@@ -14,108 +31,102 @@
   0x20000, // multiple results
   0x80000, // authentication plugin name
 ].reduce((all, flag) => all | flag, 0);
+const PACKET_HEADER_BYTES = 4;
+const SEQUENCE_OFFSET = 3;
+const COMMAND_BYTES = 1;
 const CHARACTER_SET_UTF8MB4 = 45;
 const SERVER_STATUS_AUTOCOMMIT = 2;
 
 /** A request is packet 0, so its response starts with packet 1. */
 const FIRST_REPLY_SEQUENCE_ID = 1;
 
-/** Time limit for a client to send its credentials. */
-const HANDSHAKE_TIMEOUT_MS = 10_000;
-
 /** Idle time before the operating system sends TCP keep-alive probes. */
 const TCP_KEEP_ALIVE_DELAY_MS = 30_000;
 
-/** Time after which a client that does not read its response is disconnected. */
-const SLOW_READER_TIMEOUT_MS = 30_000;
-
-/** Limits the buffer for one request; the protocol has the same packet limit. */
-const MAX_REQUEST_BYTES = 16_777_216;
-
-const REQUEST_TOO_LARGE: ClientError = {
-  errno: 1153,
-  sqlState: '08S01',
-  message: `not run: too-large: a request may have ${MAX_REQUEST_BYTES} bytes`,
-};
-
-/** The login of a client. */
-export interface HandshakeRequest {
-  readonly user: string;
-  readonly database: string;
-  /** The challenge that the server sent in its greeting. */
-  readonly challenge: Uint8Array;
-  /** The client's response to the challenge; see `matchesVerifier`. */
-  readonly answer: Uint8Array;
-}
-
-/** The fields of an error packet to a client. */
-export interface ClientError {
-  readonly errno: number;
-  readonly sqlState: string;
-  readonly message: string;
-}
-
-/** The part of mysql2's server connection that this module uses. */
-export interface RawServerConnection {
-  readonly stream: Socket;
-  /** Sequence number of the next packet in the current exchange. */
-  sequenceId: number;
-  serverHandshake(args: object): void;
-  on(event: string, listener: (...args: unknown[]) => void): void;
-  writeColumns(columns: object[]): void;
-  writePacket(packet: RawPacket): void;
-  writeEof(): void;
-  writeOk(args?: object): void;
-  close(): void;
-  // eslint-disable-next-line @typescript-eslint/naming-convention -- mysql2 names it so.
-  _resetSequenceId(): void;
-}
+/** Time that a client has to read a last error and to close its side. */
+const LINGER_MS = 2_000;
 
-/** Handlers for a client's actions; calls for one connection never overlap. */
-export interface ServerConnectionEvents {
-  /** Returns the error to send if the login is refused. */
-  readonly onHandshake: (req: HandshakeRequest) => ClientError | undefined;
-  readonly onQuery: (sql: string) => void;
-  /** Called for an unsupported command; `reason` states why it is refused. */
-  readonly onUnsupported: (reason: string) => void;
-  readonly onClose: () => void;
-}
+/** The commands that `mysql2` passes on or answers in a way known here. */
+const KNOWN_COMMANDS: ReadonlySet<number> = new Set([
+  0x01, // quit
+  0x02, // init db
+  0x03, // query
+  0x04, // field list
+  0x0e, // ping
+  0x16, // prepare
+]);
 
 const UNSUPPORTED_COMMANDS: Readonly<Record<string, string>> = {
   stmt_prepare: 'prepared statements are not supported; send text queries',
+  stmt_execute: 'prepared statements are not supported; send text queries',
   init_db: 'the database cannot be changed on an open connection',
   field_list: 'the field list command is not supported',
 };
 
+const NO_BYTES = Buffer.alloc(0);
+
 /** The server side of a client connection. */
-export class ServerConnection {
+export class ServerConnection implements GuardedConnection {
   private state: 'open' | 'closed' = 'open';
-  private requestBytes = 0;
-  private slowReaderTimer: NodeJS.Timeout | undefined;
-  private readonly handshakeTimer: NodeJS.Timeout;
+  private transaction: 'none' | 'open' = 'none';
+  private served = 0;
+  private progressAt: number;
+  /** Bytes of the packet that has begun and holds a reservation. */
+  private reservedBytes = 0;
+  private readonly readTimer: ClientTimer;
+  private readonly packetTimer: ClientTimer;
+  private readonly loginTimer: ClientTimer;
+  private readonly reader: PacketReader;
+  private readonly parser: RawPacketParser;
+  phase: 'login' | 'commands' = 'login';
 
   constructor(
     private readonly raw: RawServerConnection,
     private readonly connectionId: number,
     private readonly events: ServerConnectionEvents,
+    private readonly guard: ConnectionGuard = new SingleConnectionGuard(),
   ) {
+    const {limits} = guard;
+    this.progressAt = guard.now();
     // A response consists of several small writes. With Nagle's algorithm it
     // would take about 40 ms.
     raw.stream.setNoDelay(true);
     raw.stream.setKeepAlive(true, TCP_KEEP_ALIVE_DELAY_MS);
-    raw.stream.on('data', (chunk: Buffer) =>
-      this.countRequestBytes(chunk.length),
-    );
     raw.stream.on('end', () => this.close());
-    raw.stream.on('drain', () => clearTimeout(this.slowReaderTimer));
-    this.handshakeTimer = setTimeout(() => this.close(), HANDSHAKE_TIMEOUT_MS);
+    raw.stream.on('drain', () => this.drained());
+    this.loginTimer = new ClientTimer(limits.loginTimeoutMs, () =>
+      this.shed('login-time'),
+    );
+    this.packetTimer = new ClientTimer(limits.packetTimeoutMs, () =>
+      this.shed(
+        this.reader.progress === 'waiting' ? 'inbound-bytes' : 'packet-time',
+      ),
+    );
+    this.readTimer = new ClientTimer(limits.readTimeoutMs, () =>
+      this.shed('read-time'),
+    );
+    this.loginTimer.start();
+    this.reader = new PacketReader(limits, {
+      reserve: bytes => this.reserve(bytes),
+      onBegun: () => this.startPacketTimer(),
+      onPacket: packet => this.handlePacket(packet),
+      onDiscarded: bytes => this.handleOversized(bytes),
+      onRefused: () =>
+        this.shed(this.phase === 'login' ? 'login-bytes' : 'packet-bytes'),
+    });
+    this.parser = raw.packetParser;
+    raw.packetParser = {execute: chunk => this.receive(chunk)};
     raw.on('query', sql => {
-      this.requestBytes = 0;
       if (this.state === 'open') events.onQuery(String(sql));
     });
     for (const [event, reason] of Object.entries(UNSUPPORTED_COMMANDS)) {
       raw.on(event, () => events.onUnsupported(reason));
     }
+    raw.on('ping', () => {
+      raw.writeOk();
+      this.answered();
+    });
+    raw.on('quit', () => this.close());
     raw.on('warn', () => this.close());
     raw.on('error', () => this.close());
     raw.stream.on('close', () => this.closed());
@@ -156,15 +167,54 @@
       }
       this.raw.writeEof();
     }
-    this.raw._resetSequenceId();
-    this.startSlowReaderTimer();
+    this.answered();
   }
 
   /** Sends an error for the current request; does nothing once closed. */
   sendError(err: ClientError): void {
     if (this.state === 'closed') return;
     this.raw.writePacket(RawPacket.error(err.errno, err.sqlState, err.message));
-    this.raw._resetSequenceId();
+    this.answered();
+  }
+
+  /** Records whether the client has an open transaction; see `usage`. */
+  setTransaction(transaction: 'none' | 'open'): void {
+    this.transaction = transaction;
+  }
+
+  get usage(): ConnectionUsage {
+    return {
+      id: this.connectionId,
+      inboundBytes:
+        this.reader.progress === 'in-packet' ? this.reservedBytes : 0,
+      outboundBytes: this.raw.stream.writableLength,
+      idleSince: this.progressAt,
+      transaction: this.transaction,
+      served: this.served,
+    };
+  }
+
+  granted(): void {
+    this.startPacketTimer();
+    this.reader.granted();
+    this.applyDemand();
+  }
+
+  /** Sends an error that states the exceeded limit, and closes. */
+  shed(limit: ExceededLimit): void {
+    if (this.state === 'closed') return;
+    this.guard.onExceeded(limit, this.remoteAddress);
+    if (limit === 'read-time' || limit === 'outbound-bytes') {
+      this.raw.stream.destroy();
+      this.closed();
+      return;
+    }
+    this.closeWithError(LIMIT_ERRORS[limit] ?? OVERLOADED);
+  }
+
+  /** Frees what the connection holds, once its last request has ended. */
+  dispose(): void {
+    this.guard.release(this.connectionId);
   }
 
   get isOpen(): boolean {
@@ -186,7 +236,14 @@
   /** Closes the connection after all written data has been sent. */
   close(): void {
     if (this.state === 'closed') return;
-    this.raw.stream.end();
+    const {stream} = this.raw;
+    stream.end();
+    // A client that neither reads nor closes would keep the descriptor.
+    const timer = setTimeout(() => stream.destroy(), LINGER_MS);
+    timer.unref();
+    stream.once('close', () => clearTimeout(timer));
+    // Unread bytes of the client would keep `end` from being seen.
+    stream.resume();
     this.closed();
   }
 
@@ -200,53 +257,119 @@
       ]),
       answer: req.authToken ?? Buffer.alloc(0),
     });
-    clearTimeout(this.handshakeTimer);
-    this.requestBytes = 0;
+    this.loginTimer.clear();
     if (refusal) {
       this.sendError(refusal);
       this.close();
       return;
     }
     done(null);
+    this.phase = 'commands';
+    this.answered();
+  }
+
+  private receive(chunk: Buffer): void {
+    if (this.state === 'closed') return;
+    this.progressAt = this.guard.now();
+    this.reader.push(chunk);
+    this.applyDemand();
+  }
+
+  /** Stops reading while received bytes cannot be processed. */
+  private applyDemand(): void {
+    const {stream} = this.raw;
+    if (this.state === 'closed') return;
+    if (this.reader.demand === 'pause') {
+      stream.pause();
+    } else if (stream.isPaused()) {
+      stream.resume();
+    }
+  }
+
+  private reserve(bytes: number): 'granted' | 'waiting' {
+    this.reservedBytes = bytes;
+    return this.guard.reserve(this.connectionId, bytes);
+  }
+
+  private startPacketTimer(): void {
+    if (this.phase === 'login') return;
+    this.packetTimer.start();
+  }
+
+  private handlePacket(packet: Buffer): void {
+    this.packetTimer.clear();
+    // `mysql2` would log each packet out of order.
+    if (packet[SEQUENCE_OFFSET] !== (this.phase === 'login' ? 1 : 0)) {
+      this.close();
+      return;
+    }
+    const command = packet[PACKET_HEADER_BYTES];
+    if (this.phase === 'commands' && !KNOWN_COMMANDS.has(command ?? 0)) {
+      this.events.onUnsupported('the command is not supported');
+      return;
+    }
+    this.parser.execute(packet);
+    if (this.parser._reusablePacket) {
+      this.parser._reusablePacket.buffer = NO_BYTES;
+    }
+  }
+
+  private handleOversized(bytes: number): void {
+    this.packetTimer.clear();
+    this.guard.onExceeded('packet-bytes', this.remoteAddress);
+    if (this.events.onOversized) {
+      this.events.onOversized(bytes - COMMAND_BYTES);
+    } else {
+      this.closeWithError(OVERSIZED);
+    }
+  }
+
+  /** The current request is answered: its memory is free for another one. */
+  private answered(): void {
     this.raw._resetSequenceId();
+    this.served += 1;
+    if (this.reservedBytes > 0) {
+      this.reservedBytes = 0;
+      this.guard.release(this.connectionId);
+    }
+    if (!this.raw.stream.writableNeedDrain) {
+      this.resumeReading();
+      return;
+    }
+    this.progressAt = this.guard.now();
+    if (this.readTimer.state === 'stopped') this.readTimer.start();
+    this.guard.onUnread();
   }
 
-  /** Limits the memory that a client's request can occupy. */
-  private countRequestBytes(count: number): void {
-    this.requestBytes += count;
-    if (this.requestBytes <= MAX_REQUEST_BYTES) return;
-    this.sendError(REQUEST_TOO_LARGE);
-    this.close();
+  /** The client has read all answers. */
+  private drained(): void {
+    this.readTimer.clear();
+    this.progressAt = this.guard.now();
+    this.resumeReading();
   }
 
-  private startSlowReaderTimer(): void {
-    if (!this.raw.stream.writableNeedDrain) return;
-    clearTimeout(this.slowReaderTimer);
-    this.slowReaderTimer = setTimeout(() => {
-      this.raw.stream.destroy();
-      this.closed();
-    }, SLOW_READER_TIMEOUT_MS);
+  /** Asynchronous, as further packets may have been received with this one. */
+  private resumeReading(): void {
+    setImmediate(() => {
+      if (this.state === 'closed') return;
+      this.reader.resume();
+      this.applyDemand();
+    });
   }
 
   private closed(): void {
     if (this.state === 'closed') return;
     this.state = 'closed';
-    clearTimeout(this.handshakeTimer);
-    clearTimeout(this.slowReaderTimer);
+    // A request that is being executed keeps its reservation until `dispose`.
+    if (this.reader.progress !== 'busy') this.dispose();
+    this.reader.end();
+    this.loginTimer.clear();
+    this.packetTimer.clear();
+    this.readTimer.clear();
     this.events.onClose();
   }
 }
 
-interface RawHandshake {
-  readonly user?: string;
-  readonly database?: string;
-  readonly authPluginData1: Buffer;
-  readonly authPluginData2: Buffer;
-  readonly authToken?: Buffer;
-}
-
-type HandshakeDone = (err: null) => void;
-
 function toColumnDefinition(column: ResultColumn): object {
   return {
     catalog: 'def',
--- a/packages/peers/src/call_peer.ts
+++ b/packages/peers/src/call_peer.ts
@@ -35,6 +35,8 @@
   'NOT_FOUND',
   'PARSE_ERROR',
   'PAYLOAD_TOO_LARGE',
+  // Too many large requests at a time; see `PeerBodyReader`.
+  'TOO_MANY_REQUESTS',
 ]);
 
 function toPeerError(err: unknown): PeerError {
--- a/packages/peers/src/index.ts
+++ b/packages/peers/src/index.ts
@@ -2,7 +2,9 @@
 export {PeerClient} from './peer_client.js';
 export {callPeer} from './call_peer.js';
 export type {CallOptions} from './call_peer.js';
-export type {ServedRouter} from './peer_http_server.js';
+export {createLimitedHttpServer} from './limited_http_server.js';
+export type {HttpServerLimits, OnExceeded} from './limited_http_server.js';
+export type {PeerServerLimits, ServedRouter} from './peer_http_server.js';
 export {TransportError, sendHttpRequest} from './http_request.js';
 export type {HttpResponse} from './http_request.js';
 export {peerLink} from './peer_link.js';
--- a/packages/peers/src/peer_http_server.ts
+++ b/packages/peers/src/peer_http_server.ts
@@ -1,4 +1,3 @@
-import {createServer} from 'node:http';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import {
   TRPCError,
@@ -8,9 +7,31 @@
 import {getHTTPStatusCodeFromError} from '@trpc/server/http';
 import type {AnyRouter} from '@trpc/server';
 import {TRPC_ERROR_CODES_BY_KEY} from '@trpc/server/rpc';
+import {createLimitedHttpServer} from './limited_http_server.js';
+import type {HttpServerLimits, OnExceeded} from './limited_http_server.js';
+import {PeerBodyReader} from './peer_body_reader.js';
+import type {BodyLimits} from './peer_body_reader.js';
 
-/** Larger than the JSON encoding of any statement that a VM accepts. */
-const MAX_BODY_BYTES = 16 * 1_048_576;
+const MIB = 1_048_576;
+
+/** The limits of the server for other VMs. */
+export interface PeerServerLimits extends HttpServerLimits, BodyLimits {
+  readonly onExceeded: OnExceeded;
+}
+
+/**
+ * Limits that no VM reaches: bodies hold a statement of 1 MiB in JSON or a
+ * document, and each VM has a few connections.
+ */
+export const DEFAULT_PEER_LIMITS: PeerServerLimits = {
+  connections: 1_024,
+  headerTimeoutMs: 10_000,
+  requestTimeoutMs: 60_000,
+  bodyBytes: 8 * MIB,
+  bodiesBytes: 24 * MIB,
+  bodyTimeoutMs: 30_000,
+  onExceeded: () => undefined,
+};
 
 interface HttpResponse {
   readonly status: number;
@@ -31,32 +52,53 @@
 export function createPeerHttpServer(
   served: ServedRouter,
   onFault: (err: unknown) => void,
+  limits: PeerServerLimits = DEFAULT_PEER_LIMITS,
 ): Server {
-  return createServer((req, res) => {
-    readBody(req)
-      .then(body => call(served, req, body))
-      .catch(err => toErrorResponse(err, onFault))
-      .then(answer => send(res, answer))
+  const bodies = new PeerBodyReader(limits, limits.onExceeded);
+  const handle = async (
+    req: IncomingMessage,
+    res: ServerResponse,
+  ): Promise<void> => {
+    const body = await bodies.read(req);
+    try {
+      send(res, await call(served, req, body.text));
+    } finally {
+      body.release();
+    }
+    limitReadTime(req, res, limits);
+  };
+  return createLimitedHttpServer(limits, limits.onExceeded, (req, res) => {
+    handle(req, res)
+      .catch(err => sendError(req, res, toErrorResponse(err, onFault)))
       .catch(onFault);
   });
 }
 
-function readBody(req: IncomingMessage): Promise<string> {
-  return new Promise((resolve, reject) => {
-    const chunks: Buffer[] = [];
-    let size = 0;
-    req.on('data', (chunk: Buffer) => {
-      size += chunk.length;
-      if (size <= MAX_BODY_BYTES) {
-        chunks.push(chunk);
-        return;
-      }
-      req.destroy();
-      reject(new TRPCError({code: 'PAYLOAD_TOO_LARGE'}));
-    });
-    req.on('error', reject);
-    req.on('end', () => resolve(Buffer.concat(chunks).toString()));
-  });
+/** Closes the connection of a client that does not read its response. */
+function limitReadTime(
+  req: IncomingMessage,
+  res: ServerResponse,
+  {bodyTimeoutMs, onExceeded}: PeerServerLimits,
+): void {
+  if (!req.socket.writableNeedDrain) return;
+  const timer = setTimeout(() => {
+    onExceeded('read-time', req.socket.remoteAddress ?? 'unknown');
+    req.socket.destroy();
+  }, bodyTimeoutMs);
+  res.once('close', () => clearTimeout(timer));
+}
+
+/** Sends an error, and closes the connection if the body was not read. */
+function sendError(
+  req: IncomingMessage,
+  res: ServerResponse,
+  answer: HttpResponse,
+): void {
+  if (!req.complete) {
+    res.setHeader('connection', 'close');
+    res.once('finish', () => req.socket.destroySoon());
+  }
+  send(res, answer);
 }
 
 async function call(
--- a/packages/peers/src/peer_server.ts
+++ b/packages/peers/src/peer_server.ts
@@ -1,7 +1,7 @@
 import type {Server} from 'node:http';
 import type {Socket} from 'node:net';
 import {createPeerHttpServer} from './peer_http_server.js';
-import type {ServedRouter} from './peer_http_server.js';
+import type {PeerServerLimits, ServedRouter} from './peer_http_server.js';
 
 /**
  * Longer than the idle timeout of `PeerClient`, so that the client closes first
@@ -21,8 +21,12 @@
   private readonly sockets = new Set<Socket>();
   private closedTraffic: PeerTraffic = {received: 0, sent: 0};
 
-  constructor(served: ServedRouter, onFault: (err: unknown) => void) {
-    this.server = createPeerHttpServer(served, onFault);
+  constructor(
+    served: ServedRouter,
+    onFault: (err: unknown) => void,
+    limits?: PeerServerLimits,
+  ) {
+    this.server = createPeerHttpServer(served, onFault, limits);
     this.server.on('connection', socket => this.trackTraffic(socket));
     this.server.keepAliveTimeout = KEEP_ALIVE_TIMEOUT_MS;
   }
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -55,6 +55,25 @@
     registers: [this.registry],
   });
 
+  readonly limitsExceeded = new Counter({
+    name: 'pistachiorill_limits_exceeded_total',
+    help: 'Requests refused and connections closed by entry point and limit.',
+    labelNames: ['entry', 'limit'],
+    registers: [this.registry],
+  });
+
+  readonly clientConnections = new Gauge({
+    name: 'pistachiorill_client_connections',
+    help: 'Open connections of clients.',
+    registers: [this.registry],
+  });
+
+  readonly clientConnectionLimit = new Gauge({
+    name: 'pistachiorill_client_connection_limit',
+    help: 'The most connections of clients that this VM accepts.',
+    registers: [this.registry],
+  });
+
   readonly draining = new Gauge({
     name: 'pistachiorill_draining',
     help: 'Whether the VM takes no new work: 1 while it drains, else 0.',
