Test results of members that are larger than expected

Cause: results of members are held whole, whatever their size, so that a client can make a VM exceed its memory with one kind of statement. Change: a test with 10 clients and results of 60 MB.

--- a/packages/launcher/src/__tests__/misbehaving/unread_answers.test.ts
+++ b/packages/launcher/src/__tests__/misbehaving/unread_answers.test.ts
@@ -51,4 +51,13 @@
     await new Promise(resolve => setTimeout(resolve, ANSWER_MS));
     expect(await vm.finish('large answers')).toEqual(BOUNDED);
   });
+
+  // Guards against answers of members that are held whole, whatever their size.
+  it.fails('answers over any expected size', async () => {
+    const crowd = await vm.loginMany(10);
+    for (const socket of crowd) socket.resume();
+    await writeAll(crowd, [queryOf('SELECT hex(zeroblob(30000000)) AS x')]);
+    await new Promise(resolve => setTimeout(resolve, ANSWER_MS));
+    expect(await vm.finish('answers over the size')).toEqual(BOUNDED);
+  });
 });
