--- a/packages/peers/src/__tests__/http_request.test.ts
+++ b/packages/peers/src/__tests__/http_request.test.ts
@@ -5,6 +5,7 @@
 import {TransportError, sendHttpRequest} from '../http_request.js';
 
 const TIMEOUT_MS = 100;
+const MAX_BYTES = 1_000;
 
 describe('sendHttpRequest', () => {
   const cleanups: Array<() => void> = [];
@@ -13,7 +14,7 @@
   });
 
   /** A server whose open connections can go silent while new ones work. */
-  async function startServer(answerAfterMs = 0) {
+  async function startServer({answer = 'answered', answerAfterMs = 0} = {}) {
     const open = new Set<Socket>();
     const silent = new Set<Socket>();
     let next: 'answer' | 'close' = 'answer';
@@ -24,7 +25,7 @@
       }
       if (silent.has(req.socket)) return;
       open.add(req.socket);
-      setTimeout(() => res.end('answered'), answerAfterMs);
+      setTimeout(() => res.end(answer), answerAfterMs);
     });
     await new Promise<void>(r => server.listen(0, '127.0.0.1', r));
     const agent = new Agent({keepAlive: true, scheduling: 'lifo'});
@@ -44,6 +45,7 @@
           body: '',
           timeoutMs: TIMEOUT_MS,
           signal: undefined,
+          maxResponseBytes: MAX_BYTES,
         });
         return body;
       } catch (err) {
@@ -62,6 +64,18 @@
     };
   }
 
+  // Guards against a response that exhausts the memory, and against a limit
+  // that is reported as a request that was not sent.
+  it('ends a response that is larger than expected', async () => {
+    const {send} = await startServer({
+      answer: 'x'.repeat(MAX_BYTES + 1),
+    });
+    const {send: sendSmaller} = await startServer({
+      answer: 'x'.repeat(MAX_BYTES),
+    });
+    expect([await send(), (await sendSmaller()).length]).toMatchSnapshot();
+  });
+
   // Guards against a timeout that is reported as if the server had hung up.
   it('reports a timeout', async () => {
     const {send, silenceOpenConnections} = await startServer();
@@ -110,7 +124,7 @@
   // Guards against calls that wait for each other on too few connections, and
   // against a pause between the parts of a request (Nagle's algorithm).
   it('sends parallel requests at once', async () => {
-    const {send} = await startServer(40);
+    const {send} = await startServer({answerAfterMs: 40});
     const startedAt = performance.now();
     const answers = await Promise.all(Array.from({length: 30}, () => send()));
     expect(new Set(answers)).toEqual(new Set(['answered']));
