Bound the review of windows, and correct the clock before it

Cause: the review listed and logged each window of a jump of the clock, half a million for a month. A holder that started with a clock ahead reviewed before it was corrected; it then forgot at each step which reports were accepted and sent them again and again.

Change: the review covers at most the windows whose row may exist, starts anew after a jump back, and waits for the comparison of clocks. Accepted reports are forgotten only once nothing is sent for their windows. ReportMessage moves to its own file.

--- a/packages/core/src/usage/__tests__/usage_step.test.ts
+++ b/packages/core/src/usage/__tests__/usage_step.test.ts
@@ -17,7 +17,7 @@
   failed: new Map(),
   firstRecordable: 99,
   collection: undefined,
-  comparison: 'not-due',
+  comparison: 'done',
 };
 
 const COLLECTED = {window: 99, state: 'complete', retryAt: 0} as const;
--- a/packages/core/src/usage/usage_cleanup.ts
+++ b/packages/core/src/usage/usage_cleanup.ts
@@ -23,22 +23,37 @@
   readonly firstRecordable: number;
 }
 
+/** The result of a review. */
+export interface DroppedWindows {
+  /** Windows that are given up without an accepted report. */
+  readonly dropped: readonly number[];
+  readonly reviewedTo: number;
+  /** Nothing is sent any more for windows up to this one. */
+  readonly givenUpTo: number;
+}
+
 /**
  * Returns the windows that are now given up without an accepted report, up to
  * `reviewedTo`. Those without a record before the first recordable one were
- * given up before.
+ * given up before. A holder reviews more often than rows are removed, so a longer
+ * range is a jump of the clock; it is not reviewed, as the work and the log would
+ * grow with the jump. After a jump back the review starts anew.
  */
 export function reviewDropped(
   {reviewedTo, records, settled, firstRecordable}: ReviewedWindows,
   bounds: UsageBounds,
   wallMs: number,
-): {readonly dropped: readonly number[]; readonly reviewedTo: number} {
+): DroppedWindows {
   const last = oldestUseful(wallMs, bounds) - 1;
-  const from = reviewedTo ?? last;
+  const isAhead = reviewedTo !== undefined && reviewedTo > last + 1;
+  const from =
+    reviewedTo === undefined || isAhead
+      ? last
+      : Math.max(reviewedTo, oldestKeptRow(wallMs, bounds) - 1);
   const dropped: number[] = [];
   for (let window = from + 1; window <= last; window++) {
     const isOwed = records.has(window) || window >= firstRecordable;
     if (isOwed && !settled.has(window)) dropped.push(window);
   }
-  return {dropped, reviewedTo: Math.max(from, last)};
+  return {dropped, reviewedTo: Math.max(from, last), givenUpTo: last};
 }
--- a/packages/core/src/usage/usage_step.ts
+++ b/packages/core/src/usage/usage_step.ts
@@ -70,6 +70,9 @@
   readonly retryAt: number;
 }
 
+/** Whether the wall-clock time was compared with that of the VMs of late. */
+export type ComparisonState = 'due' | 'under-way' | 'done';
+
 /** The state that determines what a VM does for the reports. */
 export interface UsageDutyState {
   readonly lease: UsageLeaseState;
@@ -80,8 +83,7 @@
   readonly failed: ReadonlyMap<number, FailedReport>;
   readonly firstRecordable: number;
   readonly collection: CollectionState | undefined;
-  /** Whether the VMs are to be asked for their time. */
-  readonly comparison: 'due' | 'not-due';
+  readonly comparison: ComparisonState;
 }
 
 /** What a VM does next for the reports. */
--- a/packages/gateway/src/usage/__tests__/report_task.test.ts
+++ b/packages/gateway/src/usage/__tests__/report_task.test.ts
@@ -200,4 +200,22 @@
     fleet.vms.forEach(vm => vm.kill());
     expect(summarize(fleet, 60)).toMatchSnapshot();
   });
+
+  // Guards against a holder that starts with a wrong clock and reviews the windows
+  // by it: it forgets which reports were accepted, and repeats them at each step.
+  it.each([30 * 86_400_000, -30 * 86_400_000])(
+    'holder that restarts with a clock that differs by %d ms',
+    async aheadMs => {
+      const fleet = new FakeUsageFleet(VMS);
+      await runFor(11);
+      const {holder} = fleet;
+      holder.kill();
+      const restarted = fleet.start(holder.name, aheadMs);
+      await runFor(49);
+      fleet.vms.forEach(vm => vm.kill());
+      const calls = fleet.received.length;
+      const {outcomes} = restarted;
+      expect({calls, outcomes, ...summarize(fleet, 60)}).toMatchSnapshot();
+    },
+  );
 });
--- a/packages/gateway/src/usage/report_task.ts
+++ b/packages/gateway/src/usage/report_task.ts
@@ -11,6 +11,7 @@
 } from '@pistachiorill/core';
 import type {
   CollectionState,
+  ComparisonState,
   ProcessCounts,
   Result,
   UsageStep,
@@ -26,8 +27,9 @@
 import type {CollectedCounts} from './collect_counts.js';
 import {RankedLease} from './ranked_lease.js';
 import type {RankedLeaseDependencies} from './ranked_lease.js';
+import type {ReportMessage} from './report_message.js';
 import {ReportLog} from './report_log.js';
-import type {LeaseWriteResult, UsageOutcome} from './report_log.js';
+import type {UsageOutcome} from './report_log.js';
 import type {UsageTask} from './usage_task.js';
 
 const TICK_INTERVAL_MS = 200;
@@ -36,29 +38,6 @@
 /** The pause after a write to the store that did not succeed. */
 const WRITE_RETRY_MS = 300;
 
-/** Messages that the report task handles. */
-export type ReportMessage =
-  | {readonly kind: 'tick'}
-  | {
-      readonly kind: 'collected';
-      readonly window: number;
-      readonly own: readonly ProcessCounts[];
-      readonly answers: CollectedCounts;
-    }
-  | {readonly kind: 'compared'; readonly answers: CollectedCounts}
-  | {
-      readonly kind: 'written';
-      readonly step: UsageStep;
-      readonly result: LeaseWriteResult;
-    }
-  | {
-      readonly kind: 'answered';
-      readonly window: number;
-      readonly result: Result<void, UsageReportError>;
-    }
-  /** This process is about to exit; another VM takes over. */
-  | {readonly kind: 'stop'};
-
 /** Collaborators of the report task. */
 export interface ReportDependencies extends RankedLeaseDependencies {
   readonly usage: UsageTask;
@@ -150,12 +129,15 @@
     const lease = this.lease.state(now);
     const records = view().rows.usage;
     const firstRecordable = this.firstRecordable(now);
-    if (lease.kind === 'held') {
-      this.dropOld(firstRecordable, wallMs);
-    } else {
+    if (lease.kind !== 'held') {
       this.reviewedTo = undefined;
       this.clocks.reset();
     }
+    const comparison = this.comparisonState(now);
+    // A wrong clock is corrected first; it would give up windows that are due.
+    if (lease.kind === 'held' && comparison === 'done') {
+      this.dropOld(firstRecordable, wallMs);
+    }
     const step = decideUsageStep(
       {
         lease,
@@ -164,7 +146,7 @@
         failed: this.attempts.failed,
         firstRecordable,
         collection: this.collection,
-        comparison: this.isComparisonDue(now) ? 'due' : 'not-due',
+        comparison,
       },
       bounds,
       {wallMs, now},
@@ -212,9 +194,10 @@
     }
   }
 
-  private isComparisonDue(now: number): boolean {
-    if (this.comparison === 'under-way') return false;
-    return this.clocks.isDue(this.deps.usage.wallTimeAt(0), now);
+  private comparisonState(now: number): ComparisonState {
+    if (this.comparison === 'under-way') return 'under-way';
+    const ownOffset = this.deps.usage.wallTimeAt(0);
+    return this.clocks.isDue(ownOffset, now) ? 'due' : 'done';
   }
 
   /** Asks all VMs for their time; the counts in their answers are not used. */
@@ -390,6 +373,6 @@
       this.log.dropped(window);
       onOutcome('dropped');
     }
-    attempts.removeUpTo(review.reviewedTo);
+    attempts.removeUpTo(review.givenUpTo);
   }
 }
