Back up the counts of VMs with many statements in large fleets

With owners one VM of a large fleet runs a large part of a workspace's statements, and took the counts with it.

Backups carry only the counts that changed, and all of them after the keeper changed or restarted.

--- a/packages/core/src/usage/usage_counts.ts
+++ b/packages/core/src/usage/usage_counts.ts
@@ -26,9 +26,10 @@
     }
   }
 
-  /** The windows that have counts. */
-  get numbers(): readonly number[] {
-    return [...this.windows.keys()];
+  /** The counts of all windows. */
+  get all(): ReadonlyMap<number, WorkspaceCounts> {
+    const windows = [...this.windows.keys()];
+    return new Map(windows.map(window => [window, this.of(window)]));
   }
 
   /** The counts of a window, without those that are zero. */
--- a/packages/gateway/src/usage/__tests__/report_task.test.ts
+++ b/packages/gateway/src/usage/__tests__/report_task.test.ts
@@ -218,4 +218,17 @@
       expect({calls, outcomes, ...summarize(fleet, 60)}).toMatchSnapshot();
     },
   );
+
+  // Guards against a VM of a large fleet that runs statements for others and
+  // takes their counts with it, above the tolerance of a report.
+  it('VM of a large fleet that dies with a 16th of the counts', async () => {
+    const names = Array.from({length: 16}, (unusedItem, i) => `vm-${i}`);
+    const fleet = new FakeUsageFleet(names);
+    await runFor(19.9);
+    const dying = [...fleet.vms.values()].find(vm => vm !== fleet.holder);
+    dying?.kill();
+    await runFor(20.1);
+    fleet.vms.forEach(vm => vm.kill());
+    expect(summarize(fleet, 40)).toMatchSnapshot();
+  });
 });
--- a/packages/gateway/src/usage/usage_task.ts
+++ b/packages/gateway/src/usage/usage_task.ts
@@ -1,9 +1,12 @@
 import {
-  MAX_VMS_WITHOUT_SELECTION,
   NO_WALL_TIME,
   READING_INTERVAL_MS,
   WindowCounts,
+  backupIntervalMs,
+  backupOrder,
+  changedCounts,
   higherCounts,
+  needsBackup,
   noteClockSkip,
   noteReading,
   oldestUseful,
@@ -14,6 +17,7 @@
   windowAt,
 } from '@pistachiorill/core';
 import type {
+  CountsByWindow,
   ProcessCounts,
   UsageBounds,
   WorkspaceCounts,
@@ -26,8 +30,9 @@
 import type {PeerSet} from '../peers/peer_set.js';
 import {ANONYMOUS_WORKSPACE} from '../session/session_statement.js';
 
-/** A VM that is killed owes the counts of this time in a small fleet. */
 const TICK_INTERVAL_MS = 500;
+/** A timer may fire a little early. */
+const TICK_TOLERANCE_MS = 50;
 const BACKUP_TIMEOUT_MS = 400;
 /** A stop waits this long for the VMs that keep the counts. */
 const HAND_OVER_TIMEOUT_MS = 300;
@@ -85,6 +90,9 @@
   private wallTime = NO_WALL_TIME;
   private lastReadingAt = -Infinity;
   private backup: 'up-to-date' | 'outdated' = 'up-to-date';
+  private lastBackupAt = -Infinity;
+  /** What another VM keeps of this one. */
+  private backedUp: Backup | undefined;
   private timer: NodeJS.Timeout | undefined;
 
   constructor(private readonly deps: UsageDependencies) {
@@ -124,7 +132,11 @@
         return;
       case 'hand-over':
         this.runInBackground(async () => {
-          await this.passOn(HAND_OVER_PEERS, HAND_OVER_TIMEOUT_MS);
+          const targets = this.keepers('holder-first').slice(
+            0,
+            HAND_OVER_PEERS,
+          );
+          await this.passOn(this.own.all, targets, HAND_OVER_TIMEOUT_MS);
           message.reply.answer();
         });
         return;
@@ -147,14 +159,39 @@
     );
     this.readWallClock();
     this.removeOld();
-    if (this.backup === 'up-to-date' || !this.needsBackup()) return;
+    this.backUp();
+  }
+
+  /** Passes the counts that changed on to a VM, if those of this VM matter. */
+  private backUp(): void {
+    const {clock, peers} = this.deps;
+    const now = clock();
+    const vmCount = peers.names.length + 1;
+    const intervalMs = backupIntervalMs(vmCount);
+    if (this.backup === 'up-to-date') return;
+    if (now - this.lastBackupAt < intervalMs - TICK_TOLERANCE_MS) return;
+    const counts = this.own.all;
+    if (!needsBackup(counts, vmCount)) return;
+    const [keeper] = this.keepers(backupOrder(vmCount));
+    if (keeper === undefined) return;
     this.backup = 'up-to-date';
+    this.lastBackupAt = now;
+    const process = this.processOf(keeper);
+    const kept = this.backedUp?.process === process ? this.backedUp : undefined;
+    const changed = changedCounts(counts, kept?.counts ?? new Map());
     this.runInBackground(async () => {
-      const outcome = await this.passOn(1, BACKUP_TIMEOUT_MS);
+      const outcome = await this.passOn(changed, [keeper], BACKUP_TIMEOUT_MS);
       if (outcome === 'failed') this.backup = 'outdated';
+      else this.backedUp = {process, counts};
     });
   }
 
+  /** Names a VM's process; one that restarted has lost what it kept. */
+  private processOf(vm: string): string {
+    const registration = this.deps.view().rows.vms.get(vm)?.value;
+    return `${vm} ${registration?.incarnation ?? ''}`;
+  }
+
   private readWallClock(): void {
     const {clock, wallClock} = this.deps;
     const now = clock();
@@ -211,45 +248,45 @@
     }
   }
 
-  /**
-   * In a small fleet each VM keeps its counts at another one: those of one VM
-   * exceed the tolerance of a report.
-   */
-  private needsBackup(): boolean {
-    return this.deps.peers.names.length < MAX_VMS_WITHOUT_SELECTION;
-  }
-
-  /** Passes the counts on to VMs that may be asked for them instead. */
+  /** Passes counts on to VMs that may be asked for them instead. */
   private async passOn(
-    count: number,
+    counts: CountsByWindow,
+    targets: readonly string[],
     timeoutMs: number,
   ): Promise<'done' | 'failed'> {
     const {vm, incarnation, peers} = this.deps;
-    const windows = this.own.numbers.map(window => ({
+    const windows = [...counts].map(([window, byWorkspace]) => ({
       window,
-      counts: this.own.of(window),
+      counts: byWorkspace,
     }));
-    const targets = this.keepers().slice(0, count);
-    const counts = {vm, incarnation, windows};
+    const kept = {vm, incarnation, windows};
     const answers = await Promise.all(
-      targets.map(target => peers.keepUsage(target, counts, timeoutMs)),
+      targets.map(target => peers.keepUsage(target, kept, timeoutMs)),
     );
     return answers.some(answer => answer.ok) ? 'done' : 'failed';
   }
 
-  /** The VMs that may keep the counts, the holder of the lease first. */
-  private keepers(): readonly string[] {
-    const {peers, view} = this.deps;
+  /** The VMs that may keep the counts, those that do not answer last. */
+  private keepers(order: 'holder-first' | 'spread'): readonly string[] {
+    const {peers, view, vm} = this.deps;
     const holder = view().rows.usageLease?.value.holder;
+    const first = order === 'holder-first' ? holder : undefined;
+    const key = order === 'holder-first' ? ORDER_KEY : `${ORDER_KEY}/${vm}`;
     const isSilent = (name: string): number =>
       peers.isUnresponsive(name) ? 1 : 0;
-    const isOther = (name: string): number => (name === holder ? 0 : 1);
-    return rendezvousOrder(ORDER_KEY, peers.names).sort(
+    const isOther = (name: string): number => (name === first ? 0 : 1);
+    return rendezvousOrder(key, peers.names).sort(
       (a, b) => isSilent(a) - isSilent(b) || isOther(a) - isOther(b),
     );
   }
 }
 
+/** The counts that a process of another VM keeps for this one. */
+interface Backup {
+  readonly process: string;
+  readonly counts: CountsByWindow;
+}
+
 /** What this VM keeps of another process. */
 interface KeptProcess {
   readonly name: Omit<ProcessCounts, 'counts'>;
