Record counts only by a wall-clock time that is confirmed

Cause: without answers of other VMs the deviation counted as 0, so a holder that was cut off from its peers recorded windows by a wrong clock, which can never be corrected.

Change: decideClockTrust. Counts are recorded, and windows given up, only if at least half of the other registered VMs confirmed the time within 30 s, or if the clock went on since the newest row as the store's did. For this the row has the offset of the confirmed time from the store's clock (optional, so rows of earlier versions are read).

Evidence: the fault 'the holder restarts cut off from its peers with a clock that is ahead' of report_task.test.ts.

--- a/packages/core/src/usage/__tests__/clock_comparison.test.ts
+++ b/packages/core/src/usage/__tests__/clock_comparison.test.ts
@@ -20,11 +20,12 @@
     const reset = comparedAt(0, [0, 0, 0]);
     reset.reset();
     expect({
-      never: new ClockComparison().isDue(OFFSET, 0),
-      justCompared: clocks.isDue(OFFSET, 9_999),
-      later: clocks.isDue(OFFSET, 10_000),
-      jumped: clocks.isDue(OFFSET + 7_000, 1),
-      acquiredAgain: reset.isDue(OFFSET, 1),
+      never: new ClockComparison().isDue(OFFSET, 0, 'trusted'),
+      justCompared: clocks.isDue(OFFSET, 9_999, 'trusted'),
+      later: clocks.isDue(OFFSET, 10_000, 'trusted'),
+      notConfirmed: clocks.isDue(OFFSET, 2_000, 'untrusted'),
+      jumped: clocks.isDue(OFFSET + 7_000, 1, 'trusted'),
+      acquiredAgain: reset.isDue(OFFSET, 1, 'trusted'),
     }).toMatchSnapshot();
   });
 
@@ -39,4 +40,19 @@
       removedVms: clocks.deviation(['vm-a'], OFFSET, 0),
     }).toMatchSnapshot();
   });
+
+  // Guards against counts that are recorded by a clock that nobody confirmed.
+  it('is confirmed by half of the other VMs', () => {
+    const confirm = (aheadMs: readonly number[], ownOffset = OFFSET) =>
+      comparedAt(0, aheadMs).confirmation(VMS, ownOffset, 0);
+    expect({
+      none: confirm([]),
+      oneOfThree: confirm([0]),
+      twoOfThree: confirm([900, -900]),
+      twoDiffer: confirm([7_000, 7_000, 0]),
+      jumped: confirm([0, 0, 0], OFFSET + 7_000),
+      old: comparedAt(0, [0, 0, 0]).confirmation(VMS, OFFSET, 30_001),
+      noOtherVms: comparedAt(0, []).confirmation([], OFFSET, 0),
+    }).toMatchSnapshot();
+  });
 });
--- a/packages/core/src/usage/__tests__/usage_step.test.ts
+++ b/packages/core/src/usage/__tests__/usage_step.test.ts
@@ -2,7 +2,7 @@
 import {ReportAttempts} from '../report_attempts.js';
 import {sumCounts} from '../usage_counts.js';
 import {decideUsageStep, firstRecordable} from '../usage_step.js';
-import type {UsageDutyState} from '../usage_step.js';
+import type {CollectionState, UsageDutyState} from '../usage_step.js';
 
 const BOUNDS = {windowMs: 5_000, lateMs: 10_000, leaseMs: 3_000};
 /** The end of window 99. */
@@ -18,6 +18,7 @@
   firstRecordable: 99,
   collection: undefined,
   comparison: 'done',
+  clock: 'trusted',
 };
 
 const COLLECTED = {window: 99, state: 'complete', retryAt: 0} as const;
@@ -38,6 +39,8 @@
   ['time to collect', HELD, END + 2_500],
   ['collection under way', collecting('under-way'), END + 9_000],
   ['all answered', {...HELD, collection: COLLECTED}, END + 2_600],
+  ['all answered, clock not confirmed', untrusted(COLLECTED), END + 2_600],
+  ['out of time, clock not confirmed', untrusted(INCOMPLETE), END + 7_000],
   ['some silent', {...HELD, collection: INCOMPLETE}, END + 3_000],
   ['some silent, again', {...HELD, collection: INCOMPLETE}, END + 3_500],
   ['some silent, out of time', {...HELD, collection: INCOMPLETE}, END + 7_000],
@@ -77,6 +80,12 @@
   return {...duty, failed: new Map([...duty.failed, [99, failure]])};
 }
 
+function untrusted(collection: CollectionState): UsageDutyState {
+  const retryAt = END + 3_000;
+  const clock = 'untrusted';
+  return {...HELD, clock, collection: {...collection, retryAt}};
+}
+
 function withLease(duty: UsageDutyState, leftMs: number): UsageDutyState {
   return {...duty, lease: {kind: 'held', leftMs}};
 }
--- a/packages/core/src/usage/clock_comparison.ts
+++ b/packages/core/src/usage/clock_comparison.ts
@@ -2,6 +2,8 @@
 
 /** The pause between two comparisons, also if no window is collected. */
 const COMPARE_INTERVAL_MS = 10_000;
+/** The pause while too few VMs have confirmed the time. */
+const UNTRUSTED_INTERVAL_MS = 2_000;
 /** An answer is used for this long, so that a VM may miss two comparisons. */
 const ANSWER_LIFETIME_MS = 30_000;
 
@@ -27,9 +29,15 @@
   }
 
   /** Whether the VMs are to be asked for their time. */
-  isDue(ownOffset: number, now: number): boolean {
+  isDue(
+    ownOffset: number,
+    now: number,
+    clock: 'trusted' | 'untrusted',
+  ): boolean {
+    const intervalMs =
+      clock === 'trusted' ? COMPARE_INTERVAL_MS : UNTRUSTED_INTERVAL_MS;
     return (
-      now - this.comparedAt >= COMPARE_INTERVAL_MS ||
+      now - this.comparedAt >= intervalMs ||
       Math.abs(ownOffset - this.ownOffset) > MAX_DEVIATION_MS
     );
   }
@@ -55,6 +63,18 @@
     return deviationOf(this.recent(vms, ownOffset, now));
   }
 
+  /** Whether at least half of the VMs have had about the same time of late. */
+  confirmation(
+    vms: readonly string[],
+    ownOffset: number,
+    now: number,
+  ): 'confirmed' | 'not-confirmed' {
+    const close = this.recent(vms, ownOffset, now).filter(
+      ms => Math.abs(ms) <= MAX_DEVIATION_MS,
+    );
+    return close.length * 2 >= vms.length ? 'confirmed' : 'not-confirmed';
+  }
+
   /** How far the VMs that answered of late are ahead of this VM. */
   private recent(
     vms: readonly string[],
--- a/packages/core/src/usage/index.ts
+++ b/packages/core/src/usage/index.ts
@@ -1,4 +1,5 @@
 export * from './clock_comparison.js';
+export * from './clock_trust.js';
 export * from './counts_backup.js';
 export * from './report_attempts.js';
 export * from './usage_bounds.js';
--- a/packages/core/src/usage/usage_step.ts
+++ b/packages/core/src/usage/usage_step.ts
@@ -16,6 +16,8 @@
   readonly counts: WorkspaceCounts;
   /** The era of the store in which the counts were recorded. */
   readonly era: number;
+  /** How far the wall-clock time was ahead of the store's clock, if confirmed. */
+  readonly wallOffset?: number | undefined;
 }
 
 /** The recorded counts by window. */
@@ -84,6 +86,8 @@
   readonly firstRecordable: number;
   readonly collection: CollectionState | undefined;
   readonly comparison: ComparisonState;
+  /** Whether counts may be recorded by this VM's wall-clock time. */
+  readonly clock: 'trusted' | 'untrusted';
 }
 
 /** What a VM does next for the reports. */
@@ -164,15 +168,16 @@
 }
 
 function decideCollection(
-  {collection, firstRecordable: first}: UsageDutyState,
+  {collection, firstRecordable: first, clock}: UsageDutyState,
   bounds: UsageBounds,
   {wallMs, now}: UsageTime,
 ): UsageStep {
   const window = Math.max(first, oldestUseful(wallMs, bounds));
   if (wallMs < collectAt(window, bounds)) return WAIT;
   if (collection?.window !== window) return {kind: 'collect', window};
-  if (collection.state === 'complete') return {kind: 'record', window};
   if (collection.state === 'under-way') return WAIT;
-  if (wallMs >= fixBy(window, bounds)) return {kind: 'record', window};
+  const isReady =
+    collection.state === 'complete' || wallMs >= fixBy(window, bounds);
+  if (isReady && clock === 'trusted') return {kind: 'record', window};
   return now >= collection.retryAt ? {kind: 'collect', window} : WAIT;
 }
--- a/packages/gateway/src/fleet/fleet_rows.ts
+++ b/packages/gateway/src/fleet/fleet_rows.ts
@@ -116,6 +116,7 @@
 const USAGE_SCHEMA = z.object({
   counts: z.record(z.string(), z.number().int().min(0)),
   era: z.number().int().min(0),
+  wallOffset: z.number().optional(),
 });
 
 /** A row's decoded content with the version of the row. */
--- a/packages/gateway/src/testing/fake_usage_fleet.ts
+++ b/packages/gateway/src/testing/fake_usage_fleet.ts
@@ -107,6 +107,8 @@
   readonly subsystem: UsageSubsystem;
   readonly outcomes: UsageOutcome[] = [];
   state: VmState = 'up';
+  /** Whether it calls other VMs and is called by them. */
+  peerLinks: 'up' | 'down' = 'up';
   /** Called after each write that the store accepted, before its answer. */
   onWritten: (keys: readonly string[]) => Promise<void> | void = () =>
     undefined;
@@ -259,7 +261,7 @@
 
   override async usage(name: string, window: number, timeoutMs: number) {
     const peer = this.fleet.vm(name);
-    if (peer.state === 'dead') {
+    if (!this.reaches(peer)) {
       await sleep(timeoutMs);
       return fail(NO_ANSWER);
     }
@@ -268,8 +270,14 @@
 
   override async keepUsage(name: string, counts: KeptCounts) {
     const peer = this.fleet.vm(name);
-    if (peer.state === 'dead') return fail(NO_ANSWER);
+    if (!this.reaches(peer)) return fail(NO_ANSWER);
     peer.subsystem.usage.tell({kind: 'keep', counts});
     return ok(undefined);
   }
+
+  private reaches(peer: FakeUsageVm): boolean {
+    const own = this.fleet.vm(this.vm);
+    const areLinked = own.peerLinks === 'up' && peer.peerLinks === 'up';
+    return peer.state !== 'dead' && areLinked;
+  }
 }
--- a/packages/gateway/src/usage/__tests__/report_task.test.ts
+++ b/packages/gateway/src/usage/__tests__/report_task.test.ts
@@ -178,6 +178,17 @@
       fleet.start(holder.name, -600_000);
     },
   ],
+  [
+    'the holder restarts cut off from its peers with a clock that is ahead',
+    async fleet => {
+      const {holder} = fleet;
+      holder.kill();
+      const restarted = fleet.start(holder.name, 7_000);
+      restarted.peerLinks = 'down';
+      await runFor(12);
+      restarted.peerLinks = 'up';
+    },
+  ],
   [
     'the store goes back to a copy without the last window and holder',
     async fleet => {
--- a/packages/gateway/src/usage/collect_counts.ts
+++ b/packages/gateway/src/usage/collect_counts.ts
@@ -1,5 +1,9 @@
 import {sumCounts} from '@pistachiorill/core';
-import type {ProcessCounts, WorkspaceCounts} from '@pistachiorill/core';
+import type {
+  CollectionState,
+  ProcessCounts,
+  WorkspaceCounts,
+} from '@pistachiorill/core';
 import type {PeerSet} from '../peers/peer_set.js';
 
 /** How many VMs are asked at the same time. */
@@ -16,6 +20,12 @@
 /** The answers of VMs, by the VM that was asked. */
 export type CollectedCounts = ReadonlyMap<string, CollectedAnswer>;
 
+/** The counts of one window that have been collected. */
+export interface Collection extends CollectionState {
+  readonly answers: CollectedCounts;
+  readonly own: readonly ProcessCounts[];
+}
+
 /** Asks VMs for their counts of a window; leaves out those without an answer. */
 export async function collectCounts(
   window: number,
--- a/packages/gateway/src/usage/report_task.ts
+++ b/packages/gateway/src/usage/report_task.ts
@@ -2,17 +2,18 @@
   ClockComparison,
   REPORT_TIMEOUT_MS,
   ReportAttempts,
+  decideClockTrust,
   decideUsageStep,
   dueAt,
   firstRecordable,
+  newestWindow,
   obsoleteRecords,
   reviewDropped,
   windowAt,
 } from '@pistachiorill/core';
 import type {
-  CollectionState,
+  ClockTrust,
   ComparisonState,
-  ProcessCounts,
   Result,
   UsageStep,
 } from '@pistachiorill/core';
@@ -24,7 +25,7 @@
 import type {UsageAnswer} from '../peers/gateway_handlers.js';
 import type {UsageReportError, UsageReporter} from '../ports/usage_reporter.js';
 import {collectCounts, totalCounts} from './collect_counts.js';
-import type {CollectedCounts} from './collect_counts.js';
+import type {CollectedCounts, Collection} from './collect_counts.js';
 import {RankedLease} from './ranked_lease.js';
 import type {RankedLeaseDependencies} from './ranked_lease.js';
 import type {ReportMessage} from './report_message.js';
@@ -52,12 +53,6 @@
   readonly onFailed: (err: unknown) => void;
 }
 
-/** The counts of one window that have been collected. */
-interface Collection extends CollectionState {
-  readonly answers: CollectedCounts;
-  readonly own: readonly ProcessCounts[];
-}
-
 /** Sends the usage reports while this VM holds the usage lease. */
 export class ReportTask extends Task<ReportMessage> {
   private readonly lease: RankedLease;
@@ -133,9 +128,11 @@
       this.reviewedTo = undefined;
       this.clocks.reset();
     }
-    const comparison = this.comparisonState(now);
+    const trust = this.clockTrust(now);
+    const comparison = this.comparisonState(now, trust);
     // A wrong clock is corrected first; it would give up windows that are due.
-    if (lease.kind === 'held' && comparison === 'done') {
+    const isCompared = comparison === 'done' && trust.kind === 'trusted';
+    if (lease.kind === 'held' && isCompared) {
       this.dropOld(firstRecordable, wallMs);
     }
     const step = decideUsageStep(
@@ -147,6 +144,7 @@
         firstRecordable,
         collection: this.collection,
         comparison,
+        clock: trust.kind,
       },
       bounds,
       {wallMs, now},
@@ -194,10 +192,23 @@
     }
   }
 
-  private comparisonState(now: number): ComparisonState {
+  private clockTrust(now: number): ClockTrust {
+    const {peers, usage, view} = this.deps;
+    const ownOffset = usage.wallTimeAt(0);
+    const records = view().rows.usage;
+    return decideClockTrust({
+      peers: this.clocks.confirmation(peers.names, ownOffset, now),
+      ownOffset,
+      storeClock: view().storeClock,
+      era: this.lease.row.era,
+      newest: records.get(newestWindow(records) ?? NaN),
+    });
+  }
+
+  private comparisonState(now: number, {kind}: ClockTrust): ComparisonState {
     if (this.comparison === 'under-way') return 'under-way';
     const ownOffset = this.deps.usage.wallTimeAt(0);
-    return this.clocks.isDue(ownOffset, now) ? 'due' : 'done';
+    return this.clocks.isDue(ownOffset, now, kind) ? 'due' : 'done';
   }
 
   /** Asks all VMs for their time; the counts in their answers are not used. */
@@ -295,10 +306,13 @@
     const {collection} = this;
     const counts = totalCounts(collection?.own, collection?.answers);
     const {era} = this.lease.row;
+    const trust = this.clockTrust(now);
+    if (trust.kind === 'untrusted') return undefined;
+    const {wallOffset} = trust;
     const key = usageKey(step.window);
     return this.lease.row.extend(now, {
       expected: new Map([[key, 0]]),
-      puts: new Map([[key, JSON.stringify({counts, era})]]),
+      puts: new Map([[key, JSON.stringify({counts, era, wallOffset})]]),
       removals: obsoleteRecords(view().rows.usage, bounds, wallMs).map(
         usageKey,
       ),
