--- a/packages/gateway/src/usage/report_log.ts
+++ b/packages/gateway/src/usage/report_log.ts
@@ -1,4 +1,4 @@
-import type {Result, UsageStep} from '@pistachiorill/core';
+import type {ClockTrust, Result, UsageStep} from '@pistachiorill/core';
 import type {StoreWriteError} from '@pistachiorill/store';
 import type {Logger} from '@pistachiorill/telemetry';
 import type {UsageReportError} from '../ports/usage_reporter.js';
@@ -11,6 +11,8 @@
 
 /** Writes the log records about usage reports. */
 export class ReportLog {
+  private clock: ClockTrust['kind'] = 'trusted';
+
   constructor(private readonly log: Logger) {}
 
   /** `missing` are the VMs whose counts are not known. */
@@ -59,6 +61,17 @@
     );
   }
 
+  /** Logs once that the clock of a holder is not confirmed. */
+  clockTrust({kind}: ClockTrust): void {
+    if (kind === this.clock) return;
+    this.clock = kind;
+    if (kind === 'trusted') return;
+    this.log.warn(
+      {event: 'usage.clock-unconfirmed'},
+      'too few VMs confirm the wall-clock time to record counts',
+    );
+  }
+
   corrected(byMs: number): void {
     this.log.warn(
       {event: 'usage.clock-corrected', byMs},
--- a/packages/gateway/src/usage/report_task.ts
+++ b/packages/gateway/src/usage/report_task.ts
@@ -130,6 +130,7 @@
     }
     const trust = this.clockTrust(now);
     const comparison = this.comparisonState(now, trust);
+    if (comparison === 'done') this.log.clockTrust(trust);
     // A wrong clock is corrected first; it would give up windows that are due.
     const isCompared = comparison === 'done' && trust.kind === 'trusted';
     if (lease.kind === 'held' && isCompared) {
