--- a/packages/gateway/src/usage/__tests__/report_task.test.ts
+++ b/packages/gateway/src/usage/__tests__/report_task.test.ts
@@ -178,6 +178,17 @@
       fleet.start(holder.name, -600_000);
     },
   ],
+  [
+    'the holder restarts cut off from its peers with a clock that is ahead',
+    async fleet => {
+      const {holder} = fleet;
+      holder.kill();
+      const restarted = fleet.start(holder.name, 7_000);
+      restarted.peerLinks = 'down';
+      await runFor(12);
+      restarted.peerLinks = 'up';
+    },
+  ],
   [
     'the store goes back to a copy without the last window and holder',
     async fleet => {
@@ -200,4 +211,35 @@
     fleet.vms.forEach(vm => vm.kill());
     expect(summarize(fleet, 60)).toMatchSnapshot();
   });
+
+  // Guards against a holder that starts with a wrong clock and reviews the windows
+  // by it: it forgets which reports were accepted, and repeats them at each step.
+  it.each([30 * 86_400_000, -30 * 86_400_000])(
+    'holder that restarts with a clock that differs by %d ms',
+    async aheadMs => {
+      const fleet = new FakeUsageFleet(VMS);
+      await runFor(11);
+      const {holder} = fleet;
+      holder.kill();
+      const restarted = fleet.start(holder.name, aheadMs);
+      await runFor(49);
+      fleet.vms.forEach(vm => vm.kill());
+      const calls = fleet.received.length;
+      const {outcomes} = restarted;
+      expect({calls, outcomes, ...summarize(fleet, 60)}).toMatchSnapshot();
+    },
+  );
+
+  // Guards against a VM of a large fleet that runs statements for others and
+  // takes their counts with it, above the tolerance of a report.
+  it('VM of a large fleet that dies with a 16th of the counts', async () => {
+    const names = Array.from({length: 16}, (unusedItem, i) => `vm-${i}`);
+    const fleet = new FakeUsageFleet(names);
+    await runFor(19.9);
+    const dying = [...fleet.vms.values()].find(vm => vm !== fleet.holder);
+    dying?.kill();
+    await runFor(20.1);
+    fleet.vms.forEach(vm => vm.kill());
+    expect(summarize(fleet, 40)).toMatchSnapshot();
+  });
 });
