Refuse calls that arrived while an owner's process was stopped

Cause: an owner dates the deadline of a call from the moment at which it reads it. A process that was stopped reads calls that their callers have given up; a reset of the connection does not discard them, and a write ran seconds late.

--- a/packages/gateway/src/owners/__tests__/owner_load.test.ts
+++ b/packages/gateway/src/owners/__tests__/owner_load.test.ts
@@ -153,6 +153,7 @@
     const owner = new OwnerTask({
       local,
       isReady: () => true,
+      mayReadOldCalls: () => false,
       configuration,
       clock,
       log,
--- a/packages/gateway/src/owners/__tests__/owner_task.test.ts
+++ b/packages/gateway/src/owners/__tests__/owner_task.test.ts
@@ -151,6 +151,19 @@
         await next(2);
       },
     ],
+    // Their callers may have given them up.
+    [
+      'refuses statements that arrived while its process was stopped',
+      async ({begin, next, fake}) => {
+        await begin();
+        fake.mayReadOldCalls = () => true;
+        await next(2);
+        await next(2, 'commit');
+        await begin('t2');
+        fake.mayReadOldCalls = () => false;
+        await next(2);
+      },
+    ],
     [
       'stops: finishes transactions, then rolls them back',
       async ({begin, next, task}) => {
--- a/packages/gateway/src/owners/owner_subsystem.ts
+++ b/packages/gateway/src/owners/owner_subsystem.ts
@@ -1,6 +1,7 @@
 import type {Random, RuntimeConfiguration} from '@pistachiorill/core';
 import type {Clock} from '@pistachiorill/tasks';
 import type {Logger} from '@pistachiorill/telemetry';
+import {LoopMonitor} from '../clock/loop_monitor.js';
 import type {DatabaseTask} from '../database/database_task.js';
 import type {FleetRows} from '../fleet/fleet_rows.js';
 import type {FleetView} from '../fleet/fleet_view.js';
@@ -69,12 +70,20 @@
         this.directory.targets(statement, owner => calls.availabilityOf(owner)),
       calls,
     });
+    const loop = new LoopMonitor(clock, gapMs => {
+      deps.log.warn(
+        {event: 'loop.resumed', gapMs: Math.round(gapMs)},
+        'this process did not run; statements that other VMs sent are refused',
+      );
+    });
     this.task = new OwnerTask({
       ...deps,
       local,
       isReady: group => database(group) !== undefined && deps.isReady(),
+      mayReadOldCalls: now => loop.mayReadOldCalls(now),
     });
   }
+
   /** Rolls back the transactions of processes that are not registered. */
   updateRegistrations({vms}: FleetRows): void {
     const incarnations = new Map(
--- a/packages/gateway/src/owners/owner_task.ts
+++ b/packages/gateway/src/owners/owner_task.ts
@@ -64,6 +64,11 @@
   readonly local: Filter<RoutedStatement, FirstAnswer, SessionRefusal>;
   /** Whether this VM serves a group and is ready, as its balancer sees it. */
   readonly isReady: (group: string) => boolean;
+  /**
+   * Whether a call that is read now may have arrived while this process was
+   * stopped, so that its caller may have given it up.
+   */
+  readonly mayReadOldCalls: (now: number) => boolean;
   readonly configuration: () => RuntimeConfiguration | undefined;
   readonly clock: Clock;
   readonly log: Logger;
@@ -145,6 +150,9 @@
   private async execute(req: ExecuteRequest): Promise<ForwardAnswer> {
     if (this.phase === 'stopping') return notRun('stopping');
     if (!this.deps.isReady(req.route.group)) return notRun('not-ready');
+    if (this.deps.mayReadOldCalls(this.deps.clock())) {
+      return notRun('not-ready');
+    }
     const {transaction} = req;
     if (transaction && this.held.has(transaction.id)) {
       return notRun('out-of-order');
@@ -174,6 +182,9 @@
     const held = this.held.get(req.transaction);
     if (!held || held.isRolledBack) return notRun('no-transaction');
     if (!held.accepts(req.step)) return notRun('out-of-order');
+    if (this.deps.mayReadOldCalls(this.deps.clock())) {
+      return notRun('out-of-order');
+    }
     this.deps.metrics.ranForOther();
     const statement = toPinnedStatement(req, this.deps.clock());
     try {
--- a/packages/gateway/src/testing/fake_owner.ts
+++ b/packages/gateway/src/testing/fake_owner.ts
@@ -50,6 +50,7 @@
   readonly metrics = new GatewayMetrics();
   mode: OwnerLinkMode = 'answers';
   readiness: 'ready' | 'not-ready' = 'ready';
+  mayReadOldCalls: (now: number) => boolean = () => false;
   /** The calls that it received, in order. */
   readonly calls: Array<ExecuteRequest | ExecuteInRequest> = [];
 
@@ -65,6 +66,7 @@
         clock,
       }),
       isReady: () => this.readiness === 'ready',
+      mayReadOldCalls: now => this.mayReadOldCalls(now),
       configuration,
       clock,
       log,
