Send no statement to a member after its deadline

Cause: setup commands have 400 ms each whatever is left, and the statement was sent behind them with a time limit of at least 1 ms. Change: a connection returns not-sent once the deadline has passed; an owner refuses statements without time left, and rolls back in a transaction. Evidence: begun_statements.test.ts, owner_task.test.ts; both fail before.

--- a/packages/gateway/src/database/__tests__/begun_statements.test.ts
+++ b/packages/gateway/src/database/__tests__/begun_statements.test.ts
@@ -62,6 +62,35 @@
     expect(reported).toMatchSnapshot();
   });
 
+  // Guards against a statement that is sent although its caller has given up:
+  // setup commands took the time that was left.
+  it.each([
+    [0, 0],
+    [1, 20],
+  ])('sends nothing after the deadline: %i', async (unused, deadline) => {
+    const links = new FakeLinkFactory();
+    const member = links.add('a');
+    const target = {member: 'a', address: 'a:1', group: 'wash'};
+    let now = 0;
+    const connection = new MemberConnection(
+      'a',
+      links.create(target, 'growers'),
+      () => (now += 4),
+      {
+        onSent: () => undefined,
+        onAnswered: () => undefined,
+        onFault: () => undefined,
+        onStatement: () => undefined,
+      },
+      () => undefined,
+    );
+    const job = {...JOB, deadline};
+    const result = await ask<JobResult>(reply =>
+      connection.tell({kind: 'run', job, reply}),
+    );
+    expect({result, requests: member.requests}).toMatchSnapshot();
+  });
+
   // Guards against a lost answer that is taken for a statement that did not run.
   it('keeps a statement whose answer was lost', async () => {
     const links = new FakeLinkFactory();
--- a/packages/gateway/src/database/member_connection.ts
+++ b/packages/gateway/src/database/member_connection.ts
@@ -157,10 +157,13 @@
   }
 
   private async run(job: ConnectionJob): Promise<JobResult> {
+    const {request, deadline} = job;
     const ready = await this.prepare(job);
     if (!ready.ok) return ready;
-    const {request, deadline} = job;
     const sentAt = this.clock();
+    // Setup commands have a time limit of their own, as one that is cut short
+    // says nothing about the member.
+    if (sentAt >= deadline) return fail(DEADLINE_PASSED);
     const work = request.id === undefined ? 'setup' : 'statement';
     // Requests take the same time to the member as responses take back.
     const begunAt = sentAt + this.shortestRoundTripMs / 2;
@@ -193,8 +196,9 @@
   /** Opens the connection and sets up the state that the job requires. */
   private async prepare(job: ConnectionJob): Promise<Result<void, JobFault>> {
     if (this.recordedState === 'new') {
-      this.events.onSent();
       const openedAt = this.clock();
+      if (openedAt >= job.deadline) return fail(DEADLINE_PASSED);
+      this.events.onSent();
       const opened = await this.link.open(
         Math.min(OPEN_TIMEOUT_MS, job.deadline - openedAt),
       );
@@ -299,6 +303,11 @@
   detail: 'connection closed',
 };
 
+const DEADLINE_PASSED: JobFault = {
+  failure: 'not-sent',
+  detail: 'the time limit passed before the statement was sent',
+};
+
 /** Converts a fault that occurred before the statement was sent. */
 function toNotSentFault(fault: LinkFault): JobFault {
   const {failure, ...rest} = toJobFault(fault);
--- a/packages/gateway/src/owners/__tests__/owner_task.test.ts
+++ b/packages/gateway/src/owners/__tests__/owner_task.test.ts
@@ -50,16 +50,25 @@
     fake,
     task,
     seen,
-    begin: async (id = 't1') =>
+    begin: async (id = 't1', remainingMs = 400) => {
+      const req = {...first(id), remainingMs};
       note(
         'first',
-        await ask(reply => task.tell({kind: 'execute', req: first(id), reply})),
-      ),
-    next: async (step: number, access: 'write' | 'commit' = 'write') => {
+        await ask(reply => task.tell({kind: 'execute', req, reply})),
+      );
+    },
+    next: async (
+      step: number,
+      access: 'write' | 'commit' = 'write',
+      remainingMs = 400,
+    ) => {
       const command =
         access === 'commit' ? {kind: 'commit' as const} : WORK.command;
       const id = `q${step}`;
-      const req = {...WORK, id, command, access, transaction: 't1', step};
+      const req = {
+        ...{...WORK, id, command, access, transaction: 't1', step},
+        remainingMs,
+      };
       const answer = await ask<ForwardAnswer>(reply =>
         task.tell({kind: 'execute-in', req, reply}),
       );
@@ -151,6 +160,16 @@
         await next(2);
       },
     ],
+    // Their callers do not wait for them any more.
+    [
+      'refuses statements without time',
+      async ({begin, next}) => {
+        await begin('t2', 0);
+        await begin();
+        await next(2, 'write', 0);
+        await next(3, 'commit');
+      },
+    ],
     // Their callers may have given them up.
     [
       'refuses statements that arrived while its process was stopped',
--- a/packages/gateway/src/owners/held_transaction.ts
+++ b/packages/gateway/src/owners/held_transaction.ts
@@ -13,6 +13,8 @@
   /** The calling VM asked for it. */
   | 'requested'
   | 'idle'
+  /** A statement had no time left. */
+  | 'late'
   /** The process of the calling VM is no longer registered. */
   | 'caller-gone'
   /** This VM stops. */
--- a/packages/gateway/src/owners/owner_task.ts
+++ b/packages/gateway/src/owners/owner_task.ts
@@ -8,6 +8,7 @@
   GroupAnswer,
   MemberTransaction,
 } from '../session/member_transaction.js';
+import {busyRefusal} from '../session/conclude_fault.js';
 import {UNEXPECTED_ERROR} from '../session/session_refusals.js';
 import type {RoutedStatement} from '../session/session_statement.js';
 import type {GatewayMetrics} from '../telemetry/gateway_metrics.js';
@@ -30,6 +31,8 @@
 /** For how long a transaction that was ended before it arrived is known. */
 const ENDED_KNOWN_MS = 10_000;
 
+const NO_TIME_LEFT = 'the time limit has passed';
+
 /** The messages that an owner's task handles. */
 export type OwnerMessage =
   | {
@@ -153,6 +156,9 @@
     if (this.deps.mayReadOldCalls(this.deps.clock())) {
       return notRun('not-ready');
     }
+    if (req.remainingMs <= 0) {
+      return {kind: 'refused', refusal: busyRefusal(NO_TIME_LEFT, 0)};
+    }
     const {transaction} = req;
     if (transaction && this.held.has(transaction.id)) {
       return notRun('out-of-order');
@@ -185,6 +191,12 @@
     if (this.deps.mayReadOldCalls(this.deps.clock())) {
       return notRun('out-of-order');
     }
+    if (req.remainingMs <= 0) {
+      await held.end('late');
+      this.release(held);
+      const refusal = {kind: 'aborted', detail: NO_TIME_LEFT} as const;
+      return {kind: 'refused', refusal};
+    }
     this.deps.metrics.ranForOther();
     const statement = toPinnedStatement(req, this.deps.clock());
     try {
