Roll back a transaction whose commit was not sent

Cause: any failed commit counted as the end of the transaction, so that its owner was not told and kept the connection and its locks for the idle time. Change: the transaction has ended only if its owner has ended it; otherwise the owner is told, which lets a commit that is running finish. Evidence: transaction_end.test.ts fails before; owner_task.test.ts.

--- a/packages/gateway/src/owners/__tests__/owner_task.test.ts
+++ b/packages/gateway/src/owners/__tests__/owner_task.test.ts
@@ -194,6 +194,15 @@
         await next(3, 'commit');
       },
     ],
+    [
+      'lets a commit finish whose caller has given up',
+      async ({begin, next, end}) => {
+        await begin();
+        const committed = next(2, 'commit');
+        await end();
+        await committed;
+      },
+    ],
     [
       'stops while the commit runs',
       async ({begin, next, task}) => {
--- /dev/null
+++ b/packages/gateway/src/owners/__tests__/transaction_end.test.ts
@@ -0,0 +1,87 @@
+import {afterEach, describe, expect, it, vi} from 'vitest';
+import {ask, sleep} from '@pistachiorill/tasks';
+import {SESSION_CONFIGURATION} from '../../testing/fake_session.js';
+import {FakeOwner, FakeOwnerClient} from '../../testing/fake_owner.js';
+import {silentLogger} from '../../testing/fake_group.js';
+import {GatewayMetrics} from '../../telemetry/gateway_metrics.js';
+import type {ExecuteRequest, ForwardAnswer} from '../forward_schema.js';
+import {ForwardedTransaction} from '../forwarded_transaction.js';
+import {OwnerCalls} from '../owner_calls.js';
+
+let owner: FakeOwner | undefined;
+
+afterEach(() => {
+  owner?.group.close();
+  vi.useRealTimers();
+});
+
+const ROUTE = SESSION_CONFIGURATION.routes.get('wash-db');
+const WORK = {
+  command: {kind: 'statement' as const, text: 'WRITE x y'},
+  access: 'write' as const,
+  values: [],
+  remainingMs: 400,
+};
+const FIRST: ExecuteRequest = {
+  ...WORK,
+  id: 'q1',
+  database: 'wash-db',
+  key: 'k1',
+  workspace: 'growers',
+  caller: 'keyed',
+  regions: [],
+  begin: 'write',
+  position: {kind: 'none'},
+  route: {...(ROUTE as ExecuteRequest['route'])},
+  transaction: {id: 't1', vm: 'vm-1', incarnation: 'i1'},
+};
+
+/** An owner with an open transaction, and the caller's side of it. */
+async function begin(transactionIdleMs: number) {
+  const x = new FakeOwner(() => ({
+    ...SESSION_CONFIGURATION,
+    transactionIdleMs,
+  }));
+  owner = x;
+  const clock = (): number => performance.now();
+  const client = new FakeOwnerClient(new Map([['x', x]]));
+  const log = silentLogger();
+  const metrics = new GatewayMetrics();
+  const calls = new OwnerCalls({client, clock, log, metrics});
+  const transaction = new ForwardedTransaction(
+    {
+      owner: 'x',
+      transaction: 't1',
+      request: 'q1',
+      workspace: 'growers',
+      group: 'g',
+      statementTimeoutMs: 400,
+    },
+    {calls, client, clock},
+  );
+  await ask<ForwardAnswer>(reply =>
+    x.task.tell({kind: 'execute', req: FIRST, reply}),
+  );
+  return {x, transaction};
+}
+
+describe('transactions at an owner', () => {
+  // Guards against a transaction whose commit was never sent, and which keeps
+  // its connection and its locks at the owner for the idle time.
+  it('are rolled back when the commit was not sent', async () => {
+    const {x, transaction} = await begin(3_000);
+    x.mode = 'unreachable';
+    const committed = transaction.run({
+      id: 'q2',
+      command: {kind: 'commit'},
+      access: 'commit',
+      values: new Map(),
+      deadline: performance.now() + 400,
+    });
+    // The connection of the call did not open in time; the next one does.
+    x.mode = 'answers';
+    expect((await committed).ok).toBe(false);
+    await sleep(30);
+    expect(x.task.isBusy).toBe(false);
+  });
+});
--- a/packages/gateway/src/owners/forwarded_transaction.ts
+++ b/packages/gateway/src/owners/forwarded_transaction.ts
@@ -81,11 +81,12 @@
       this.state = 'ended';
       return fail(result.refusal);
     }
-    // A commit that may be running is left to finish.
-    if (access === 'commit') this.state = 'ended';
+    const {failure, detail} = result;
+    // Without an answer the owner may still hold it; it lets a commit that is
+    // running finish.
+    if (failure === 'no-transaction') this.state = 'ended';
     this.abandon();
     const effect = access === 'write' ? 'write-in-transaction' : access;
-    const {failure, detail} = result;
     const fault = {failure: attemptFailureOf(failure), detail};
     return fail(concludeFault(effect, 'pinned', fault).refusal);
   }
--- a/packages/gateway/src/owners/held_transaction.ts
+++ b/packages/gateway/src/owners/held_transaction.ts
@@ -21,7 +21,8 @@
   | 'stopping';
 
 /** `opening` until its first statement is answered. */
-type HeldPhase = 'opening' | 'idle' | 'running' | 'ended' | 'rolled-back';
+type HeldPhase =
+  'opening' | 'idle' | 'running' | 'committing' | 'ended' | 'rolled-back';
 
 /** A transaction that an owner holds for another VM. */
 export class HeldTransaction {
@@ -76,7 +77,7 @@
     const {transaction} = this;
     if (!transaction) return undefined;
     this.idleTimer.stop();
-    this.phase = 'running';
+    this.phase = statement.access === 'commit' ? 'committing' : 'running';
     this.step++;
     this.values = statement.values;
     let result: Result<GroupAnswer, SessionRefusal>;
