Keep a held transaction whose next statement has begun

Cause: an idle timer whose message was handled behind the start of the next statement rolled the transaction back after that statement. Change: the message counts only while the transaction is idle. Evidence: transaction_end.test.ts fails before.

--- a/packages/gateway/src/owners/__tests__/transaction_end.test.ts
+++ b/packages/gateway/src/owners/__tests__/transaction_end.test.ts
@@ -84,4 +84,29 @@
     await sleep(30);
     expect(x.task.isBusy).toBe(false);
   });
+
+  // Guards against a transaction that is rolled back as idle although its next
+  // statement had begun.
+  it('are kept when the idle time ends behind the next statement', async () => {
+    const {x} = await begin(3_000);
+    const step = (number: number, command: 'statement' | 'commit') =>
+      ask<ForwardAnswer>(reply =>
+        x.task.tell({
+          kind: 'execute-in',
+          req: {
+            ...WORK,
+            id: `q${number}`,
+            command: command === 'commit' ? {kind: 'commit'} : WORK.command,
+            access: command === 'commit' ? 'commit' : 'write',
+            transaction: 't1',
+            step: number,
+          },
+          reply,
+        }),
+      );
+    const running = step(2, 'statement');
+    x.task.tell({kind: 'idle', transaction: 't1'});
+    expect((await running).kind).toBe('done');
+    expect(await step(3, 'commit')).toMatchObject({kind: 'done'});
+  });
 });
--- a/packages/gateway/src/owners/held_transaction.ts
+++ b/packages/gateway/src/owners/held_transaction.ts
@@ -96,6 +96,8 @@
   /** Rolls back, after the statement that may be running. */
   async end(reason: HeldRollbackReason): Promise<void> {
     if (this.isEnded) return;
+    // The next statement has begun since the idle time passed.
+    if (reason === 'idle' && this.phase !== 'idle') return;
     this.endReason ??= reason;
     // A caller that asks for it does not wait for its statement any more.
     if (this.phase === 'running' && reason === 'requested') {
