Repeat the call that ends a held transaction, and bound its idle time

Cause: the call was sent once with 400 ms; where the configuration sets no idle time the owner kept the transaction for ever when it was lost, also the one of a lost first statement. Change: the call is repeated three times over 3.5 s, and the owner rolls back after 60 s without a statement where no time is configured. Evidence: transaction_end.test.ts, two tests that fail before.

--- a/packages/gateway/src/owners/__tests__/transaction_end.test.ts
+++ b/packages/gateway/src/owners/__tests__/transaction_end.test.ts
@@ -109,4 +109,25 @@
     expect((await running).kind).toBe('done');
     expect(await step(3, 'commit')).toMatchObject({kind: 'done'});
   });
+
+  // Guards against a transaction that is held for ever where idle ones have no
+  // time limit, and no call that ends it arrives.
+  it('are rolled back after a time of the owner', async () => {
+    vi.useFakeTimers({toFake: ['setTimeout', 'clearTimeout']});
+    const {x} = await begin(0);
+    await vi.advanceTimersByTimeAsync(59_000);
+    const before = x.task.isBusy;
+    await vi.advanceTimersByTimeAsync(2_000);
+    expect([before, x.task.isBusy]).toEqual([true, false]);
+  });
+
+  // Guards against locks that are held for a minute as one call was lost.
+  it('are rolled back by a repeated call', async () => {
+    const {x, transaction} = await begin(0);
+    x.mode = 'loses-calls';
+    await transaction.rollback();
+    x.mode = 'answers';
+    await sleep(700);
+    expect(x.task.isBusy).toBe(false);
+  });
 });
--- a/packages/gateway/src/owners/forwarded_transaction.ts
+++ b/packages/gateway/src/owners/forwarded_transaction.ts
@@ -1,5 +1,6 @@
 import {attemptFailureOf, fail, ok} from '@pistachiorill/core';
 import type {Result} from '@pistachiorill/core';
+import {sleep} from '@pistachiorill/tasks';
 import type {Clock} from '@pistachiorill/tasks';
 import type {SessionRefusal} from '../ports/caller_link.js';
 import {concludeFault} from '../session/conclude_fault.js';
@@ -19,6 +20,9 @@
 /** The time limit of a rollback. */
 const ROLLBACK_TIMEOUT_MS = 400;
 
+/** When a rollback without an answer is sent again, after the one before. */
+const ROLLBACK_REPEAT_MS: readonly number[] = [500, 1_000, 2_000];
+
 /** Where a transaction is held, and what its first statement fixed. */
 export interface ForwardedTransactionOrigin {
   readonly owner: string;
@@ -94,13 +98,23 @@
   override async rollback(): Promise<void> {
     if (this.state === 'ended') return;
     this.state = 'ended';
+    if (!(await this.sendRollback())) void this.repeatRollback();
+  }
+
+  /** Without an answer to any the owner rolls back for itself. */
+  private async repeatRollback(): Promise<void> {
+    for (const ms of ROLLBACK_REPEAT_MS) {
+      await sleep(ms);
+      if (await this.sendRollback()) return;
+    }
+  }
+
+  /** Returns whether the owner answered. */
+  private async sendRollback(): Promise<boolean> {
     const {owner, transaction} = this.origin;
-    // Without an answer the owner rolls back when the transaction is idle.
-    await this.deps.client.endTransaction(
-      owner,
-      {transaction},
-      ROLLBACK_TIMEOUT_MS,
-    );
+    const {client} = this.deps;
+    const req = {transaction};
+    return (await client.endTransaction(owner, req, ROLLBACK_TIMEOUT_MS)).ok;
   }
 
   override abandon(): void {
--- a/packages/gateway/src/owners/owner_task.ts
+++ b/packages/gateway/src/owners/owner_task.ts
@@ -28,6 +28,11 @@
  * call has not arrived this long after the idle time.
  */
 const IDLE_MARGIN_MS = 1_000;
+/**
+ * For how long a transaction is held without a statement where the configuration
+ * sets no time: the calls of its VM that end it may all be lost.
+ */
+const MAX_IDLE_MS = 60_000;
 /** For how long a transaction that was ended before it arrived is known. */
 const ENDED_KNOWN_MS = 10_000;
 
@@ -271,10 +276,10 @@
     this.endedEarly.set(id, now);
   }
 
-  /** After which idle time a transaction is rolled back; 0 for never. */
+  /** After which idle time a transaction is rolled back. */
   private get idleMs(): number {
     const idleMs = this.deps.configuration()?.transactionIdleMs ?? 0;
-    return idleMs > 0 ? idleMs + IDLE_MARGIN_MS : 0;
+    return idleMs > 0 ? idleMs + IDLE_MARGIN_MS : MAX_IDLE_MS;
   }
 }
 
