Send no statement to a further VM once those of this VM have ended

Cause: when a stopping VM ends its calls to owners, a read ended as no-answer and was sent to the next owner, and the process exited without an answer. Change: the forward filter closes before the calls end; what is left is refused as busy, which is answered before the exit. Evidence: forwarding.test.ts; without the change the read ran at the next owner.

--- a/packages/gateway/src/daemon/gateway_daemon.ts
+++ b/packages/gateway/src/daemon/gateway_daemon.ts
@@ -323,6 +323,7 @@
       owner: this.owners.task,
       closeDatabases: () => {
         this.databases.close();
+        this.owners.filter.close();
         this.peers.closeStatements();
       },
       leaveFleet: async () => {
--- a/packages/gateway/src/owners/__tests__/forwarding.test.ts
+++ b/packages/gateway/src/owners/__tests__/forwarding.test.ts
@@ -40,11 +40,12 @@
   const log = silentLogger();
   const metrics = new GatewayMetrics();
   const calls = new OwnerCalls({client, clock, log, metrics});
+  let filter: ForwardFilter | undefined;
   const own = startSession(
     undefined,
     new Map(),
     local =>
-      new ForwardFilter({
+      (filter = new ForwardFilter({
         vm: 'vm-1',
         incarnation: 'i1',
         local,
@@ -56,7 +57,7 @@
         clock,
         log,
         metrics,
-      }),
+      })),
   );
   cleanups.push(() => {
     for (const group of [own.fake, x.group, y.group]) group.close();
@@ -71,7 +72,8 @@
   const setCallerConfiguration = (next: RuntimeConfiguration): void => {
     own.state.configuration = next;
   };
-  return {...own, x, y, requests, state, setCallerConfiguration};
+  const close = (): void => filter?.close();
+  return {...own, x, y, requests, state, setCallerConfiguration, close};
 }
 
 type Fleet = ReturnType<typeof start>;
@@ -131,6 +133,18 @@
     expect(results).toMatchSnapshot();
   });
 
+  // Guards against a statement without an answer when the process exits: the
+  // calls that are under way end then, and a read was sent to the next owner.
+  it('answers a read whose call ends as the VM stops', async () => {
+    const fleet = start();
+    fleet.x.mode = 'loses-calls';
+    const running = fleet.run(READ);
+    await new Promise(resolve => setTimeout(resolve, 5));
+    fleet.close();
+    await running;
+    expect(await play(fleet)).toMatchSnapshot();
+  });
+
   // Guards against a VM that refuses what it could serve: the first statements
   // find out that the owners answer no probes either.
   it.each([
--- a/packages/gateway/src/owners/forward_filter.ts
+++ b/packages/gateway/src/owners/forward_filter.ts
@@ -21,6 +21,7 @@
 import type {FirstAnswer} from '../session/member_transaction.js';
 import {effectOf, hedgeDelayMs} from '../session/place_filter.js';
 import {refusalAfterWait} from '../session/session_access.js';
+import {VM_STOPS} from '../session/session_refusals.js';
 import type {RoutedStatement} from '../session/session_statement.js';
 import type {GatewayMetrics} from '../telemetry/gateway_metrics.js';
 import {
@@ -77,11 +78,17 @@
 > {
   override readonly name = 'forward';
   private transactionCount = 0;
+  private phase: 'open' | 'closed' = 'open';
 
   constructor(private readonly deps: ForwardDependencies) {
     super();
   }
 
+  /** The VM's statements end; none is sent to another VM any more. */
+  close(): void {
+    this.phase = 'closed';
+  }
+
   override run(statement: RoutedStatement): Promise<RunResult> {
     // The commit of a transaction without statements reads and changes nothing.
     const targets =
@@ -97,6 +104,7 @@
     tried: readonly string[] = [],
   ): Promise<RunResult> {
     const {clock, configuration} = this.deps;
+    if (this.phase === 'closed') return fail(VM_STOPS);
     if (target?.kind !== 'owner') {
       return this.runWithoutOwner(statement, target, tried);
     }
