--- a/packages/gateway/src/owners/owner_task.ts
+++ b/packages/gateway/src/owners/owner_task.ts
@@ -8,6 +8,7 @@
   GroupAnswer,
   MemberTransaction,
 } from '../session/member_transaction.js';
+import {busyRefusal} from '../session/conclude_fault.js';
 import {UNEXPECTED_ERROR} from '../session/session_refusals.js';
 import type {RoutedStatement} from '../session/session_statement.js';
 import type {GatewayMetrics} from '../telemetry/gateway_metrics.js';
@@ -27,9 +28,16 @@
  * call has not arrived this long after the idle time.
  */
 const IDLE_MARGIN_MS = 1_000;
+/**
+ * For how long a transaction is held without a statement where the configuration
+ * sets no time: the calls of its VM that end it may all be lost.
+ */
+const MAX_IDLE_MS = 60_000;
 /** For how long a transaction that was ended before it arrived is known. */
 const ENDED_KNOWN_MS = 10_000;
 
+const NO_TIME_LEFT = 'the time limit has passed';
+
 /** The messages that an owner's task handles. */
 export type OwnerMessage =
   | {
@@ -64,6 +72,11 @@
   readonly local: Filter<RoutedStatement, FirstAnswer, SessionRefusal>;
   /** Whether this VM serves a group and is ready, as its balancer sees it. */
   readonly isReady: (group: string) => boolean;
+  /**
+   * Whether a call that is read now may have arrived while this process was
+   * stopped, so that its caller may have given it up.
+   */
+  readonly mayReadOldCalls: (now: number) => boolean;
   readonly configuration: () => RuntimeConfiguration | undefined;
   readonly clock: Clock;
   readonly log: Logger;
@@ -145,6 +158,12 @@
   private async execute(req: ExecuteRequest): Promise<ForwardAnswer> {
     if (this.phase === 'stopping') return notRun('stopping');
     if (!this.deps.isReady(req.route.group)) return notRun('not-ready');
+    if (this.deps.mayReadOldCalls(this.deps.clock())) {
+      return notRun('not-ready');
+    }
+    if (req.remainingMs <= 0) {
+      return {kind: 'refused', refusal: busyRefusal(NO_TIME_LEFT, 0)};
+    }
     const {transaction} = req;
     if (transaction && this.held.has(transaction.id)) {
       return notRun('out-of-order');
@@ -174,6 +193,15 @@
     const held = this.held.get(req.transaction);
     if (!held || held.isRolledBack) return notRun('no-transaction');
     if (!held.accepts(req.step)) return notRun('out-of-order');
+    if (this.deps.mayReadOldCalls(this.deps.clock())) {
+      return notRun('out-of-order');
+    }
+    if (req.remainingMs <= 0) {
+      await held.end('late');
+      this.release(held);
+      const refusal = {kind: 'aborted', detail: NO_TIME_LEFT} as const;
+      return {kind: 'refused', refusal};
+    }
     this.deps.metrics.ranForOther();
     const statement = toPinnedStatement(req, this.deps.clock());
     try {
@@ -248,10 +276,10 @@
     this.endedEarly.set(id, now);
   }
 
-  /** After which idle time a transaction is rolled back; 0 for never. */
+  /** After which idle time a transaction is rolled back. */
   private get idleMs(): number {
     const idleMs = this.deps.configuration()?.transactionIdleMs ?? 0;
-    return idleMs > 0 ? idleMs + IDLE_MARGIN_MS : 0;
+    return idleMs > 0 ? idleMs + IDLE_MARGIN_MS : MAX_IDLE_MS;
   }
 }
 
