Limit what an owner spends on statements of other VMs

Cause: calls under way and their bytes were limited by each caller only, and the answer of a call was buffered whatever its length. Change: an owner runs 400 first statements and 32 Mi characters for others and answers 'full' beyond; the caller tries the next owner and then refuses as busy. The body of an HTTP answer is 64 MiB at most. Evidence: with the limits raised out of reach both limit tests of owner_task.test.ts fail (no statement refused) and that of http_request.test.ts (171,966,464 characters buffered). The cases of forwarding.test.ts and owners.test.ts cover the new answer, which did not exist before.

--- a/packages/core/src/owners/__tests__/owners.test.ts
+++ b/packages/core/src/owners/__tests__/owners.test.ts
@@ -265,6 +265,15 @@
         [1_050, failed('overloaded', 800)],
       ],
     ],
+    [
+      'is full',
+      [
+        [0, call],
+        [0, call],
+        [5, (health, now) => afterOwnerRefusal(health, 'full', now)],
+        [10, answer],
+      ],
+    ],
     ['has too many calls', Array.from({length: 20}, (): Step => [0, call])],
   ])('%s', (unusedName, steps) => {
     let health = INITIAL_OWNER_HEALTH;
@@ -288,6 +297,7 @@
       'no-answer',
       'stopping',
       'not-ready',
+      'full',
       'no-transaction',
       'out-of-order',
     ];
--- a/packages/core/src/owners/forward_failure.ts
+++ b/packages/core/src/owners/forward_failure.ts
@@ -10,6 +10,8 @@
   | 'stopping'
   /** The owner is not ready to serve callers, or lacks the group. */
   | 'not-ready'
+  /** The owner has as much to do as it may take from other VMs. */
+  | 'full'
   /** The owner does not hold the transaction, which was not committed. */
   | 'no-transaction'
   /** The transaction expects another statement; an earlier call may have run. */
@@ -20,6 +22,7 @@
   'no-answer': 'no-answer',
   stopping: 'refused',
   'not-ready': 'refused',
+  full: 'refused',
   'no-transaction': 'refused',
   'out-of-order': 'no-answer',
 };
--- a/packages/core/src/owners/owner_health.ts
+++ b/packages/core/src/owners/owner_health.ts
@@ -5,18 +5,28 @@
 /** For how long an owner is avoided after the first failure in a row. */
 const BACKOFF_MS = 500;
 const MAX_BACKOFF_MS = 3_000;
-/** For how long an owner is avoided that is not ready. */
-const NOT_READY_AVOID_MS = 500;
 /**
  * The number of calls to one owner that may be without an answer. Each takes a
  * connection: those of 195 VMs must fit into the 4,300 descriptors of an owner.
  */
 const MAX_OUTSTANDING = 20;
 
+/** Why an owner refused a new statement. */
+export type OwnerRefusalReason = 'stopping' | 'not-ready' | 'full';
+
+/** For how long an owner that refused a statement is avoided. */
+const REFUSAL_AVOID_MS: Readonly<Record<OwnerRefusalReason, number>> = {
+  stopping: MAX_BACKOFF_MS,
+  'not-ready': 500,
+  full: 100,
+};
+
 /** Why an owner gets no new statements for some time. */
 export type OwnerAvoidReason =
   /** It opened no connection in time, and may be short of processor time. */
   | 'overloaded'
+  /** It has as much to do as it may take from other VMs. */
+  | 'full'
   | 'unreachable'
   /** It answered nothing although it had calls to answer. */
   | 'silent'
@@ -27,10 +37,14 @@
 /** The reasons that hold although the owner answers. */
 const KEPT_REASONS: readonly OwnerAvoidReason[] = [
   'overloaded',
+  'full',
   'stopping',
   'not-ready',
 ];
 
+/** The reasons of an owner that is there, but takes no more. */
+const FULL_REASONS: readonly OwnerAvoidReason[] = ['overloaded', 'full'];
+
 /** What a VM has observed of one owner. */
 export interface OwnerHealth {
   /** The number of calls without an answer. */
@@ -83,10 +97,10 @@
 /** The owner refused a call as it takes no new statements. */
 export function afterOwnerRefusal(
   health: OwnerHealth,
-  reason: 'stopping' | 'not-ready',
+  reason: OwnerRefusalReason,
   now: number,
 ): OwnerHealth {
-  const ms = reason === 'stopping' ? MAX_BACKOFF_MS : NOT_READY_AVOID_MS;
+  const ms = REFUSAL_AVOID_MS[reason];
   const answered = afterOwnerAnswer(health, now);
   return {...answered, avoid: {until: now + ms, reason}};
 }
@@ -146,7 +160,7 @@
   now: number,
 ): OwnerAvailability {
   if (avoid && now < avoid.until) {
-    return avoid.reason === 'overloaded' ? 'full' : 'avoided';
+    return FULL_REASONS.includes(avoid.reason) ? 'full' : 'avoided';
   }
   return outstanding < MAX_OUTSTANDING ? 'available' : 'full';
 }
@@ -164,8 +178,8 @@
   // that one which seemed overloaded is gone.
   if (isAvoided(health, now)) {
     const {avoid: current} = health;
-    const avoid =
-      current?.reason === 'overloaded' ? {...current, reason} : current;
+    const isFull = current && FULL_REASONS.includes(current.reason);
+    const avoid = isFull ? {...current, reason} : current;
     return {...health, silentSince: undefined, avoid};
   }
   const failures = health.failures + 1;
--- a/packages/gateway/src/owners/__tests__/forwarding.test.ts
+++ b/packages/gateway/src/owners/__tests__/forwarding.test.ts
@@ -104,6 +104,7 @@
         y.mode = 'unreachable';
       },
     ],
+    ['an owner that is full', ({x}) => (x.mode = 'full')],
     // Direct connections of all VMs would overload the members further.
     [
       'two overloaded owners',
@@ -112,6 +113,13 @@
         y.mode = 'overloaded';
       },
     ],
+    [
+      'two owners that are full',
+      ({x, y}) => {
+        x.mode = 'full';
+        y.mode = 'full';
+      },
+    ],
     [
       'an overloaded owner and one that is gone',
       ({x, y}) => {
--- a/packages/gateway/src/owners/__tests__/owner_task.test.ts
+++ b/packages/gateway/src/owners/__tests__/owner_task.test.ts
@@ -1,8 +1,16 @@
 import {afterEach, describe, expect, it, vi} from 'vitest';
+import {Filter, fail} from '@pistachiorill/core';
+import type {Result} from '@pistachiorill/core';
 import {ask, sleep} from '@pistachiorill/tasks';
+import type {SessionRefusal} from '../../ports/caller_link.js';
+import type {FirstAnswer} from '../../session/member_transaction.js';
+import type {RoutedStatement} from '../../session/session_statement.js';
+import {GatewayMetrics} from '../../telemetry/gateway_metrics.js';
+import {silentLogger} from '../../testing/fake_group.js';
 import {SESSION_CONFIGURATION} from '../../testing/fake_session.js';
 import {FakeOwner} from '../../testing/fake_owner.js';
 import type {ExecuteRequest, ForwardAnswer} from '../forward_schema.js';
+import {OwnerTask} from '../owner_task.js';
 
 let owner: FakeOwner | undefined;
 
@@ -83,6 +91,24 @@
 
 type Owner = ReturnType<typeof start>;
 
+/** Keeps statements waiting until they are released. */
+class WaitingFilter extends Filter<
+  RoutedStatement,
+  FirstAnswer,
+  SessionRefusal
+> {
+  override readonly name = 'wait';
+
+  constructor(private readonly released: Promise<void>) {
+    super();
+  }
+
+  override async run(): Promise<Result<FirstAnswer, SessionRefusal>> {
+    await this.released;
+    return fail({kind: 'timed-out', detail: ''});
+  }
+}
+
 function register(
   incarnation: string | undefined,
 ): ReadonlyMap<string, string> {
@@ -221,6 +247,44 @@
     expect({seen: to.seen, requests, isBusy}).toMatchSnapshot();
   });
 
+  // Guards against an owner that runs out of memory: only the calling VMs limit
+  // their calls, each for itself.
+  it.each([
+    ['number', 450, 10],
+    ['length', 30, 1_200_000],
+  ])('refuses statements over its limit in %s', async (unused, count, size) => {
+    let release: () => void = () => undefined;
+    const released = new Promise<void>(resolve => (release = resolve));
+    const task = new OwnerTask({
+      local: new WaitingFilter(released),
+      isReady: () => true,
+      mayReadOldCalls: () => false,
+      configuration: () => SESSION_CONFIGURATION,
+      clock: () => 0,
+      log: silentLogger(),
+      metrics: new GatewayMetrics(),
+      onFailed: err => {
+        throw err;
+      },
+    });
+    const text = `WRITE x ${'y'.repeat(size)}`;
+    const {transaction, begin, ...single} = first('t');
+    void [transaction, begin];
+    const run = (): Promise<string> =>
+      ask<ForwardAnswer>(reply => {
+        const command = {kind: 'statement' as const, text};
+        task.tell({kind: 'execute', req: {...single, command}, reply});
+      }).then(answer =>
+        answer.kind === 'not-run' ? answer.reason : 'not refused',
+      );
+    const running = Array.from({length: count}, run);
+    await sleep(20);
+    release();
+    const answers = await Promise.all(running);
+    const full = answers.filter(answer => answer === 'full').length;
+    expect({full, next: await run()}).toMatchSnapshot();
+  });
+
   // Guards against a connection that a caller's lost process keeps for ever.
   it('rolls back an idle transaction after the time of its caller', async () => {
     vi.useFakeTimers({toFake: ['setTimeout', 'clearTimeout']});
--- a/packages/gateway/src/owners/forward_request.ts
+++ b/packages/gateway/src/owners/forward_request.ts
@@ -18,17 +18,24 @@
 const ANSWER_MARGIN_MS = 150;
 
 /** The part of a statement that a member runs. */
-type Work = Omit<PinnedStatement, 'deadline'>;
+type Work = Pick<PinnedStatement, 'id' | 'command' | 'prepared'> & {
+  readonly values: Iterable<readonly [string, string]>;
+};
 
 /** Whether a statement fits into a call, with the values of its session. */
-export function isForwardable({command, prepared, values, id}: Work): boolean {
+export function isForwardable(work: Work): boolean {
+  return lengthOf(work) <= MAX_FORWARD_LENGTH;
+}
+
+/** Returns the length of a statement with the values of its session. */
+export function lengthOf({command, prepared, values, id}: Work): number {
   let length = id.length + (prepared?.shape.length ?? 0);
   if (command.kind === 'statement') length += command.text.length;
   if (command.kind === 'execute') {
     length += command.name.length + command.parameters.length;
   }
   for (const [name, value] of values) length += name.length + value.length;
-  return length <= MAX_FORWARD_LENGTH;
+  return length;
 }
 
 /** Returns how long a call may take whose statement has a deadline. */
--- a/packages/gateway/src/owners/forward_schema.ts
+++ b/packages/gateway/src/owners/forward_schema.ts
@@ -117,5 +117,5 @@
   | {
       readonly kind: 'not-run';
       readonly reason:
-        'stopping' | 'not-ready' | 'no-transaction' | 'out-of-order';
+        'stopping' | 'not-ready' | 'full' | 'no-transaction' | 'out-of-order';
     };
--- a/packages/gateway/src/owners/owner_calls.ts
+++ b/packages/gateway/src/owners/owner_calls.ts
@@ -116,7 +116,8 @@
     const answer = result.value;
     if (answer.kind === 'not-run') {
       const {reason} = answer;
-      const isUnable = reason === 'stopping' || reason === 'not-ready';
+      const isUnable =
+        reason === 'stopping' || reason === 'not-ready' || reason === 'full';
       this.update(
         owner,
         isUnable
--- a/packages/gateway/src/owners/owner_task.ts
+++ b/packages/gateway/src/owners/owner_task.ts
@@ -12,7 +12,11 @@
 import {UNEXPECTED_ERROR} from '../session/session_refusals.js';
 import type {RoutedStatement} from '../session/session_statement.js';
 import type {GatewayMetrics} from '../telemetry/gateway_metrics.js';
-import {toPinnedStatement, toRoutedStatement} from './forward_request.js';
+import {
+  lengthOf,
+  toPinnedStatement,
+  toRoutedStatement,
+} from './forward_request.js';
 import type {
   EndTransactionRequest,
   ExecuteInRequest,
@@ -36,6 +40,14 @@
 /** For how long a transaction that was ended before it arrived is known. */
 const ENDED_KNOWN_MS = 10_000;
 
+/**
+ * The number of first statements that may run or wait for other VMs. A member
+ * with 4 slots serves about 300 of 14 ms in a second, the time limit of most.
+ */
+const MAX_RUNNING = 400;
+/** The length of the statements of other VMs that may run or wait together. */
+const MAX_RUNNING_LENGTH = 32 * 1_048_576;
+
 const NO_TIME_LEFT = 'the time limit has passed';
 
 /** The messages that an owner's task handles. */
@@ -91,6 +103,7 @@
   private readonly endedEarly = new Map<string, number>();
   private phase: 'serving' | 'stopping' = 'serving';
   private running = 0;
+  private runningLength = 0;
   private incarnations: ReadonlyMap<string, string> = new Map();
 
   constructor(private readonly deps: OwnerTaskDependencies) {
@@ -105,10 +118,10 @@
   protected override handle(message: OwnerMessage): void {
     switch (message.kind) {
       case 'execute':
-        this.answer(message.reply, () => this.execute(message.req));
+        this.answer(message, () => this.execute(message.req));
         return;
       case 'execute-in':
-        this.answer(message.reply, () => this.executeIn(message.req));
+        this.answer(message, () => this.executeIn(message.req));
         return;
       case 'end-transaction':
         this.runInBackground(async () => {
@@ -140,21 +153,44 @@
 
   /** Runs a statement while others do, and answers in any case, once. */
   private answer(
-    reply: Reply<ForwardAnswer>,
+    {req, reply}: Extract<OwnerMessage, {kind: 'execute' | 'execute-in'}>,
     run: () => Promise<ForwardAnswer>,
   ): void {
     this.runInBackground(async () => {
       let answer: ForwardAnswer = {kind: 'refused', refusal: UNEXPECTED_ERROR};
+      const length = lengthOf(req);
+      if (this.isFull(req, length)) {
+        reply.answer(notRun('full'));
+        return;
+      }
       this.running++;
+      this.runningLength += length;
       try {
         answer = await run();
       } finally {
         this.running--;
+        this.runningLength -= length;
         reply.answer(answer);
       }
     });
   }
 
+  /**
+   * Whether a statement would take more than this VM spends on others. Those of
+   * open transactions are only limited in length, as their number is limited by
+   * the connections that they hold.
+   */
+  private isFull(
+    req: ExecuteRequest | ExecuteInRequest,
+    length: number,
+  ): boolean {
+    const isFirst = !('step' in req);
+    return (
+      (isFirst && this.running >= MAX_RUNNING) ||
+      (this.running > 0 && this.runningLength + length > MAX_RUNNING_LENGTH)
+    );
+  }
+
   private async execute(req: ExecuteRequest): Promise<ForwardAnswer> {
     if (this.phase === 'stopping') return notRun('stopping');
     if (!this.deps.isReady(req.route.group)) return notRun('not-ready');
--- a/packages/gateway/src/testing/fake_owner.ts
+++ b/packages/gateway/src/testing/fake_owner.ts
@@ -26,6 +26,8 @@
   | 'unreachable'
   /** It opens no connection in time, and answers probes. */
   | 'overloaded'
+  /** It has too much to do for other VMs. */
+  | 'full'
   /** No connection opens in time, also none for a probe. */
   | 'cut-off'
   /** The owner does not receive the call. */
@@ -111,7 +113,12 @@
     timeoutMs: number,
   ): Promise<Result<void, PeerError>> {
     const mode = this.owners.get(owner)?.mode;
-    if (mode === 'answers' || mode === 'slow' || mode === 'overloaded') {
+    if (
+      mode === 'answers' ||
+      mode === 'slow' ||
+      mode === 'overloaded' ||
+      mode === 'full'
+    ) {
       return ok(undefined);
     }
     await sleep(timeoutMs);
@@ -138,6 +145,9 @@
       const cause = 'connect-timeout';
       return fail({kind: 'unreachable', detail: 'no connection', cause});
     }
+    if (mode === 'full') {
+      return ok({kind: 'not-run', reason: 'full'} as T);
+    }
     const delayMs = this.delayMs(name);
     if (delayMs > 0) await sleep(delayMs);
     if (mode === 'slow') await sleep(SLOW_FOR_MS);
--- a/packages/peers/src/__tests__/http_request.test.ts
+++ b/packages/peers/src/__tests__/http_request.test.ts
@@ -116,4 +116,33 @@
     expect(new Set(answers)).toEqual(new Set(['answered']));
     expect(performance.now() - startedAt).toBeLessThan(30 * 40);
   });
+
+  // Guards against a response without an end that takes the memory of the VM.
+  it('gives up a response that is too long', async () => {
+    const chunk = Buffer.alloc(4 * 1_048_576);
+    let chunks = 0;
+    const server = createServer((unused, res) => {
+      const write = (): void => {
+        if (res.destroyed || chunks++ > 40) res.end();
+        else res.write(chunk, write);
+      };
+      write();
+    });
+    await new Promise<void>(r => server.listen(0, '127.0.0.1', r));
+    const agent = new Agent({keepAlive: true});
+    cleanups.push(() => {
+      agent.destroy();
+      server.closeAllConnections();
+      server.close();
+    });
+    const {port} = server.address() as AddressInfo;
+    const ended = await sendHttpRequest({
+      ...{agent, host: '127.0.0.1', port, path: '/', body: ''},
+      ...{timeoutMs: 10_000, signal: undefined},
+    }).then(
+      ({body}) => `answered with ${body.length} characters`,
+      (err: TransportError) => `${err.kind}: ${err.message}`,
+    );
+    expect(ended).toBe('no-answer: over 67108864 bytes');
+  });
 });
--- a/packages/peers/src/http_request.ts
+++ b/packages/peers/src/http_request.ts
@@ -16,6 +16,9 @@
   }
 }
 
+/** Larger than any answer that a VM or the store sends. */
+const MAX_RESPONSE_BYTES = 64 * 1_048_576;
+
 /** The parameters of one HTTP request. */
 export interface HttpRequest {
   readonly method?: 'GET' | 'POST';
@@ -114,7 +117,12 @@
     req.on('error', failWith);
     req.on('response', res => {
       const chunks: Buffer[] = [];
-      res.on('data', (chunk: Buffer) => chunks.push(chunk));
+      let size = 0;
+      res.on('data', (chunk: Buffer) => {
+        size += chunk.length;
+        if (size <= MAX_RESPONSE_BYTES) chunks.push(chunk);
+        else res.destroy(new Error(`over ${MAX_RESPONSE_BYTES} bytes`));
+      });
       res.on('error', failWith);
       res.on('end', () => {
         finish();
