Split the creation of tasks out of the gateway daemon

The peer server, the quota task, the clock and the usage reports are created by functions of their own; behaviour is unchanged.

--- a/packages/gateway/src/daemon/gateway_daemon.ts
+++ b/packages/gateway/src/daemon/gateway_daemon.ts
@@ -1,15 +1,14 @@
 import {randomUUID} from 'node:crypto';
 import type {Server} from 'node:http';
 import {Random} from '@pistachiorill/core';
-import {PeerServer} from '@pistachiorill/peers';
+import type {PeerServer} from '@pistachiorill/peers';
 import type {RuntimeConfiguration} from '@pistachiorill/core';
 import {Pipeline, ask} from '@pistachiorill/tasks';
 import type {Logger} from '@pistachiorill/telemetry';
-import {SuspensionClock, SystemClocks} from '../clock/suspension_clock.js';
 import type {DatabaseTask} from '../database/database_task.js';
 import {DatabaseSet} from './database_set.js';
 import {FleetTask} from '../fleet/fleet_task.js';
-import {EMPTY_FLEET_VIEW, isProven, provenShares} from '../fleet/fleet_view.js';
+import {EMPTY_FLEET_VIEW, isProven} from '../fleet/fleet_view.js';
 import type {FleetView} from '../fleet/fleet_view.js';
 import {PositionTask} from '../fleet/position_task.js';
 import {registeredAt} from '../fleet/registration.js';
@@ -19,7 +18,6 @@
 import {ConfigurationTask} from '../operators/configuration_task.js';
 import {DirectoryTask} from '../operators/directory_task.js';
 import {OwnerSubsystem} from '../owners/owner_subsystem.js';
-import {GATEWAY_ROUTER} from '../peers/gateway_router.js';
 import {PeerSet} from '../peers/peer_set.js';
 import {newWatcherChoice} from '../peers/watcher_choice.js';
 import type {WatchedState, WatcherChoice} from '../peers/watcher_choice.js';
@@ -27,23 +25,22 @@
 import type {OperatorState} from '../ports/configuration_source.js';
 import type {ListedMember} from '../ports/member_directory.js';
 import type {Readiness} from '../ports/readiness_endpoint.js';
-import {QuotaTask} from '../quota/quota_task.js';
-import {WorkspaceShares} from '../quota/workspace_shares.js';
+import type {QuotaTask} from '../quota/quota_task.js';
 import {AdmitFilter} from '../session/admit_filter.js';
 import {RouteFilter} from '../session/route_filter.js';
 import {SessionTask} from '../session/session_task.js';
 import type {SessionDependencies} from '../session/session_message.js';
 import {GatewayMetrics} from '../telemetry/gateway_metrics.js';
-import {UsageSubsystem} from '../usage/usage_subsystem.js';
-import {DaemonPeerHandlers} from './daemon_peer_handlers.js';
+import type {UsageSubsystem} from '../usage/usage_subsystem.js';
 import type {GatewayPorts, OpenPorts} from './gateway_ports.js';
 import {usableProcessors} from './gateway_settings.js';
 import type {GatewaySettings} from './gateway_settings.js';
 import {stopGracefully} from './graceful_stop.js';
 import {serveMetrics} from './http_endpoints.js';
-
-/** The monotonic clock counts from the start of the process. */
-const PROCESS_START_MS = 0;
+import {newPeerServer} from './new_peer_server.js';
+import {newQuotaTask} from './new_quota_task.js';
+import {newSuspensionClock} from './new_suspension_clock.js';
+import {newUsageSubsystem} from './new_usage_subsystem.js';
 
 /** Creates and connects the tasks of one VM, and starts and stops them. */
 export class GatewayDaemon {
@@ -77,18 +74,10 @@
     openPorts: OpenPorts,
     private readonly log: Logger,
   ) {
-    const suspension = new SuspensionClock(new SystemClocks(), skippedMs => {
-      log.warn(
-        {event: 'clock.skipped', skippedMs},
-        'the machine was suspended or its clock was set forward',
-      );
-      // Deferred, because this callback runs while the clock is being read.
-      setImmediate(() => {
-        this.usage?.clockSkipped(skippedMs);
-        this.fleet.tell({kind: 'clock-skipped', skippedMs});
-      });
+    this.clock = newSuspensionClock(log, skippedMs => {
+      this.usage?.clockSkipped(skippedMs);
+      this.fleet.tell({kind: 'clock-skipped', skippedMs});
     });
-    this.clock = () => suspension.now();
     const {clock, peers} = this;
     this.ports = openPorts({clock, log});
     const onFailed = (err: unknown): void => {
@@ -132,43 +121,21 @@
       clock,
       onFailed,
     });
-    const shares = new WorkspaceShares(vm);
-    this.quota = new QuotaTask({
-      clock,
-      startedAt: PROCESS_START_MS,
-      sharePpm: workspace => {
-        const table = provenShares(view(), clock());
-        return table ? shares.shareOf(table, workspace) : 0;
-      },
-      rateHolders: workspace => {
-        const table = view().rows.shares?.value;
-        return table ? shares.rateHoldersOf(table, workspace) : [];
-      },
-      hasProvenShares: () => provenShares(view(), clock()) !== undefined,
+    this.quota = newQuotaTask({vm, view, clock, peers, log, onFailed});
+    const transact: LeaseRowDependencies['transact'] = transaction =>
+      ask(reply => this.fleet.tell({kind: 'transact', transaction, reply}));
+    this.usage = newUsageSubsystem(settings.usage, {
+      vm,
+      incarnation,
+      view,
+      transact,
       peers,
+      reporter: this.ports.usageReporter,
+      clock,
+      metrics: this.metrics,
       log,
       onFailed,
     });
-    const transact: LeaseRowDependencies['transact'] = transaction =>
-      ask(reply => this.fleet.tell({kind: 'transact', transaction, reply}));
-    this.usage =
-      settings.usage &&
-      new UsageSubsystem({
-        vm,
-        incarnation,
-        bounds: settings.usage,
-        view,
-        transact,
-        peers,
-        reporter: this.ports.usageReporter,
-        clock,
-        wallClock: () => Date.now(),
-        startedAt: clock(),
-        onOutcome: outcome => this.metrics.usageReported(outcome),
-        onMissing: vms => this.metrics.usageMissing(vms),
-        log,
-        onFailed,
-      });
     const configuration = (): RuntimeConfiguration | undefined =>
       this.operators?.configuration;
     const database = (group: string): DatabaseTask | undefined =>
@@ -263,22 +230,17 @@
       log,
       onFailed,
     });
-    this.peerServer = new PeerServer(
+    this.peerServer = newPeerServer(
       {
-        router: GATEWAY_ROUTER,
-        context: {
-          handlers: new DaemonPeerHandlers({
-            database: group => this.databases.get(group),
-            fleet: this.fleet,
-            leadership: this.leadership,
-            quota: this.quota,
-            configuration: this.configuration,
-            directory: this.directory,
-            positions: this.positions,
-            usage: this.usage?.usage,
-            owner: this.owners.task,
-          }),
-        },
+        database: group => this.databases.get(group),
+        fleet: this.fleet,
+        leadership: this.leadership,
+        quota: this.quota,
+        configuration: this.configuration,
+        directory: this.directory,
+        positions: this.positions,
+        usage: this.usage?.usage,
+        owner: this.owners.task,
       },
       onFailed,
     );
