--- a/packages/gateway/src/owners/__tests__/transaction_end.test.ts
+++ b/packages/gateway/src/owners/__tests__/transaction_end.test.ts
@@ -1,11 +1,14 @@
 import {afterEach, describe, expect, it, vi} from 'vitest';
+import {fail} from '@pistachiorill/core';
 import {ask, sleep} from '@pistachiorill/tasks';
+import type {MemberTransaction} from '../../session/member_transaction.js';
 import {SESSION_CONFIGURATION} from '../../testing/fake_session.js';
 import {FakeOwner, FakeOwnerClient} from '../../testing/fake_owner.js';
 import {silentLogger} from '../../testing/fake_group.js';
 import {GatewayMetrics} from '../../telemetry/gateway_metrics.js';
 import type {ExecuteRequest, ForwardAnswer} from '../forward_schema.js';
 import {ForwardedTransaction} from '../forwarded_transaction.js';
+import {HeldTransaction} from '../held_transaction.js';
 import {OwnerCalls} from '../owner_calls.js';
 
 let owner: FakeOwner | undefined;
@@ -130,4 +133,27 @@
     await sleep(700);
     expect(x.task.isBusy).toBe(false);
   });
+
+  // Guards against a commit that is cut off by the call that ends its transaction;
+  // other statements are, as nothing waits for them.
+  it.each([
+    ['commit', []],
+    ['write', ['abandon']],
+  ] as const)('let a running commit finish: %s', async (access, expected) => {
+    const seen: string[] = [];
+    const transaction = {
+      run: () => sleep(10).then(() => fail({kind: 'aborted', detail: ''})),
+      abandon: () => seen.push('abandon'),
+    } as unknown as MemberTransaction;
+    const caller = {id: 't1', vm: 'vm-1', incarnation: 'i1'};
+    const nothing = (): void => undefined;
+    const held = new HeldTransaction(caller, new Map(), nothing, nothing);
+    await held.opened(transaction, 0);
+    const {command} = WORK;
+    const statement = {id: 'q2', command, access, values: new Map()};
+    const running = held.run({...statement, deadline: Infinity}, 0);
+    await held.end('requested');
+    await running;
+    expect(seen).toEqual(expected);
+  });
 });
