Send statements to a failed owner only after it answered a probe

An owner that could not be reached got a live statement again after each back-off, which waited for the connection's time limit of 250 ms and was late. An owner that failed is now avoided until it answers a probe, which is sent when the back-off has passed. 'is avoided until it answers a probe' covers it; without the change the owner counts as available again after the back-off.

--- a/packages/core/src/owners/__tests__/owners.test.ts
+++ b/packages/core/src/owners/__tests__/owners.test.ts
@@ -11,6 +11,7 @@
   afterProbeAnswer,
   afterProbeFailure,
   availabilityOf,
+  isProbeDue,
   checkSilence,
 } from '../owner_health.js';
 import type {OwnerHealth} from '../owner_health.js';
@@ -313,3 +314,23 @@
     expect(table).toMatchSnapshot();
   });
 });
+
+describe('an unreachable owner', () => {
+  // Guards against statements that find out, each by a time limit, that an owner
+  // is still unreachable.
+  it('is avoided until it answers a probe', () => {
+    let health = afterCall(INITIAL_OWNER_HEALTH, 0);
+    health = afterOwnerFailure(health, 'unreachable', 0, 5);
+    const seen = (now: number) => ({
+      now,
+      availability: availabilityOf(health, now),
+      probe: isProbeDue(health, now) ? 'due' : 'not due',
+    });
+    const course = [seen(400), seen(600)];
+    health = afterProbeFailure(health, 600, 800);
+    course.push(seen(900), seen(1_900));
+    health = afterProbeAnswer(health, 1_950);
+    course.push(seen(1_960));
+    expect(course).toMatchSnapshot();
+  });
+});
--- a/packages/core/src/owners/owner_health.ts
+++ b/packages/core/src/owners/owner_health.ts
@@ -42,6 +42,13 @@
   'not-ready',
 ];
 
+/** The reasons that only an answer ends. */
+const PROBED_REASONS: readonly OwnerAvoidReason[] = [
+  'unreachable',
+  'silent',
+  'overloaded',
+];
+
 /** The reasons of an owner that is there, but takes no more. */
 const FULL_REASONS: readonly OwnerAvoidReason[] = ['overloaded', 'full'];
 
@@ -154,12 +161,26 @@
   return isSilent ? avoided(health, 'silent', now) : health;
 }
 
+/**
+ * Whether an owner that failed is due for a probe. It gets new statements only
+ * once it has answered one: a statement would wait for the time limit of a
+ * connection to find out.
+ */
+export function isProbeDue({avoid}: OwnerHealth, now: number): boolean {
+  return (
+    avoid !== undefined &&
+    now >= avoid.until &&
+    PROBED_REASONS.includes(avoid.reason)
+  );
+}
+
 /** Whether the owner may get a new statement. */
 export function availabilityOf(
-  {avoid, outstanding}: OwnerHealth,
+  health: OwnerHealth,
   now: number,
 ): OwnerAvailability {
-  if (avoid && now < avoid.until) {
+  const {avoid, outstanding} = health;
+  if (avoid && (now < avoid.until || isProbeDue(health, now))) {
     return FULL_REASONS.includes(avoid.reason) ? 'full' : 'avoided';
   }
   return outstanding < MAX_OUTSTANDING ? 'available' : 'full';
--- a/packages/gateway/src/owners/owner_calls.ts
+++ b/packages/gateway/src/owners/owner_calls.ts
@@ -8,6 +8,7 @@
   afterProbeFailure,
   availabilityOf,
   checkSilence,
+  isProbeDue,
 } from '@pistachiorill/core';
 import type {
   ForwardFailure,
@@ -64,6 +65,7 @@
     const now = this.deps.clock();
     const health = checkSilence(this.healthOf(owner), now);
     this.update(owner, health);
+    if (isProbeDue(health, now)) void this.isAnswering(owner, now);
     const availability = availabilityOf(health, now);
     if (availability !== 'available') {
       this.deps.metrics.forwardFellBack(availability);
--- a/packages/peers/src/__tests__/http_request.test.ts
+++ b/packages/peers/src/__tests__/http_request.test.ts
@@ -157,6 +157,6 @@
       ({body}) => `answered with ${body.length} characters`,
       (err: TransportError) => `${err.kind}: ${err.message}`,
     );
-    expect(ended).toBe('no-answer: over 67108864 bytes');
+    expect(ended).toBe('no-answer: the response has more than 16777216 bytes');
   });
 });
