--- a/packages/core/src/owners/__tests__/owners.test.ts
+++ b/packages/core/src/owners/__tests__/owners.test.ts
@@ -11,6 +11,7 @@
   afterProbeAnswer,
   afterProbeFailure,
   availabilityOf,
+  isProbeDue,
   checkSilence,
 } from '../owner_health.js';
 import type {OwnerHealth} from '../owner_health.js';
@@ -265,6 +266,15 @@
         [1_050, failed('overloaded', 800)],
       ],
     ],
+    [
+      'is full',
+      [
+        [0, call],
+        [0, call],
+        [5, (health, now) => afterOwnerRefusal(health, 'full', now)],
+        [10, answer],
+      ],
+    ],
     ['has too many calls', Array.from({length: 20}, (): Step => [0, call])],
   ])('%s', (unusedName, steps) => {
     let health = INITIAL_OWNER_HEALTH;
@@ -288,6 +298,7 @@
       'no-answer',
       'stopping',
       'not-ready',
+      'full',
       'no-transaction',
       'out-of-order',
     ];
@@ -303,3 +314,23 @@
     expect(table).toMatchSnapshot();
   });
 });
+
+describe('an unreachable owner', () => {
+  // Guards against statements that find out, each by a time limit, that an owner
+  // is still unreachable.
+  it('is avoided until it answers a probe', () => {
+    let health = afterCall(INITIAL_OWNER_HEALTH, 0);
+    health = afterOwnerFailure(health, 'unreachable', 0, 5);
+    const seen = (now: number) => ({
+      now,
+      availability: availabilityOf(health, now),
+      probe: isProbeDue(health, now) ? 'due' : 'not due',
+    });
+    const course = [seen(400), seen(600)];
+    health = afterProbeFailure(health, 600, 800);
+    course.push(seen(900), seen(1_900));
+    health = afterProbeAnswer(health, 1_950);
+    course.push(seen(1_960));
+    expect(course).toMatchSnapshot();
+  });
+});
--- a/packages/gateway/src/owners/held_transaction.ts
+++ b/packages/gateway/src/owners/held_transaction.ts
@@ -13,13 +13,16 @@
   /** The calling VM asked for it. */
   | 'requested'
   | 'idle'
+  /** A statement had no time left. */
+  | 'late'
   /** The process of the calling VM is no longer registered. */
   | 'caller-gone'
   /** This VM stops. */
   | 'stopping';
 
 /** `opening` until its first statement is answered. */
-type HeldPhase = 'opening' | 'idle' | 'running' | 'ended' | 'rolled-back';
+type HeldPhase =
+  'opening' | 'idle' | 'running' | 'committing' | 'ended' | 'rolled-back';
 
 /** A transaction that an owner holds for another VM. */
 export class HeldTransaction {
@@ -74,7 +77,7 @@
     const {transaction} = this;
     if (!transaction) return undefined;
     this.idleTimer.stop();
-    this.phase = 'running';
+    this.phase = statement.access === 'commit' ? 'committing' : 'running';
     this.step++;
     this.values = statement.values;
     let result: Result<GroupAnswer, SessionRefusal>;
@@ -93,6 +96,8 @@
   /** Rolls back, after the statement that may be running. */
   async end(reason: HeldRollbackReason): Promise<void> {
     if (this.isEnded) return;
+    // The next statement has begun since the idle time passed.
+    if (reason === 'idle' && this.phase !== 'idle') return;
     this.endReason ??= reason;
     // A caller that asks for it does not wait for its statement any more.
     if (this.phase === 'running' && reason === 'requested') {
--- a/packages/gateway/src/owners/owner_calls.ts
+++ b/packages/gateway/src/owners/owner_calls.ts
@@ -8,6 +8,7 @@
   afterProbeFailure,
   availabilityOf,
   checkSilence,
+  isProbeDue,
 } from '@pistachiorill/core';
 import type {
   ForwardFailure,
@@ -64,6 +65,7 @@
     const now = this.deps.clock();
     const health = checkSilence(this.healthOf(owner), now);
     this.update(owner, health);
+    if (isProbeDue(health, now)) void this.isAnswering(owner, now);
     const availability = availabilityOf(health, now);
     if (availability !== 'available') {
       this.deps.metrics.forwardFellBack(availability);
@@ -116,7 +118,8 @@
     const answer = result.value;
     if (answer.kind === 'not-run') {
       const {reason} = answer;
-      const isUnable = reason === 'stopping' || reason === 'not-ready';
+      const isUnable =
+        reason === 'stopping' || reason === 'not-ready' || reason === 'full';
       this.update(
         owner,
         isUnable
--- a/packages/gateway/src/usage/report_task.ts
+++ b/packages/gateway/src/usage/report_task.ts
@@ -2,16 +2,18 @@
   ClockComparison,
   REPORT_TIMEOUT_MS,
   ReportAttempts,
+  decideClockTrust,
   decideUsageStep,
   dueAt,
   firstRecordable,
+  newestWindow,
   obsoleteRecords,
   reviewDropped,
   windowAt,
 } from '@pistachiorill/core';
 import type {
-  CollectionState,
-  ProcessCounts,
+  ClockTrust,
+  ComparisonState,
   Result,
   UsageStep,
 } from '@pistachiorill/core';
@@ -23,11 +25,12 @@
 import type {UsageAnswer} from '../peers/gateway_handlers.js';
 import type {UsageReportError, UsageReporter} from '../ports/usage_reporter.js';
 import {collectCounts, totalCounts} from './collect_counts.js';
-import type {CollectedCounts} from './collect_counts.js';
+import type {CollectedCounts, Collection} from './collect_counts.js';
 import {RankedLease} from './ranked_lease.js';
 import type {RankedLeaseDependencies} from './ranked_lease.js';
+import type {ReportMessage} from './report_message.js';
 import {ReportLog} from './report_log.js';
-import type {LeaseWriteResult, UsageOutcome} from './report_log.js';
+import type {UsageOutcome} from './report_log.js';
 import type {UsageTask} from './usage_task.js';
 
 const TICK_INTERVAL_MS = 200;
@@ -36,29 +39,6 @@
 /** The pause after a write to the store that did not succeed. */
 const WRITE_RETRY_MS = 300;
 
-/** Messages that the report task handles. */
-export type ReportMessage =
-  | {readonly kind: 'tick'}
-  | {
-      readonly kind: 'collected';
-      readonly window: number;
-      readonly own: readonly ProcessCounts[];
-      readonly answers: CollectedCounts;
-    }
-  | {readonly kind: 'compared'; readonly answers: CollectedCounts}
-  | {
-      readonly kind: 'written';
-      readonly step: UsageStep;
-      readonly result: LeaseWriteResult;
-    }
-  | {
-      readonly kind: 'answered';
-      readonly window: number;
-      readonly result: Result<void, UsageReportError>;
-    }
-  /** This process is about to exit; another VM takes over. */
-  | {readonly kind: 'stop'};
-
 /** Collaborators of the report task. */
 export interface ReportDependencies extends RankedLeaseDependencies {
   readonly usage: UsageTask;
@@ -73,12 +53,6 @@
   readonly onFailed: (err: unknown) => void;
 }
 
-/** The counts of one window that have been collected. */
-interface Collection extends CollectionState {
-  readonly answers: CollectedCounts;
-  readonly own: readonly ProcessCounts[];
-}
-
 /** Sends the usage reports while this VM holds the usage lease. */
 export class ReportTask extends Task<ReportMessage> {
   private readonly lease: RankedLease;
@@ -150,12 +124,18 @@
     const lease = this.lease.state(now);
     const records = view().rows.usage;
     const firstRecordable = this.firstRecordable(now);
-    if (lease.kind === 'held') {
-      this.dropOld(firstRecordable, wallMs);
-    } else {
+    if (lease.kind !== 'held') {
       this.reviewedTo = undefined;
       this.clocks.reset();
     }
+    const trust = this.clockTrust(now);
+    const comparison = this.comparisonState(now, trust);
+    if (comparison === 'done') this.log.clockTrust(trust);
+    // A wrong clock is corrected first; it would give up windows that are due.
+    const isCompared = comparison === 'done' && trust.kind === 'trusted';
+    if (lease.kind === 'held' && isCompared) {
+      this.dropOld(firstRecordable, wallMs);
+    }
     const step = decideUsageStep(
       {
         lease,
@@ -164,7 +144,8 @@
         failed: this.attempts.failed,
         firstRecordable,
         collection: this.collection,
-        comparison: this.isComparisonDue(now) ? 'due' : 'not-due',
+        comparison,
+        clock: trust.kind,
       },
       bounds,
       {wallMs, now},
@@ -212,9 +193,23 @@
     }
   }
 
-  private isComparisonDue(now: number): boolean {
-    if (this.comparison === 'under-way') return false;
-    return this.clocks.isDue(this.deps.usage.wallTimeAt(0), now);
+  private clockTrust(now: number): ClockTrust {
+    const {peers, usage, view} = this.deps;
+    const ownOffset = usage.wallTimeAt(0);
+    const records = view().rows.usage;
+    return decideClockTrust({
+      peers: this.clocks.confirmation(peers.names, ownOffset, now),
+      ownOffset,
+      storeClock: view().storeClock,
+      era: this.lease.row.era,
+      newest: records.get(newestWindow(records) ?? NaN),
+    });
+  }
+
+  private comparisonState(now: number, {kind}: ClockTrust): ComparisonState {
+    if (this.comparison === 'under-way') return 'under-way';
+    const ownOffset = this.deps.usage.wallTimeAt(0);
+    return this.clocks.isDue(ownOffset, now, kind) ? 'due' : 'done';
   }
 
   /** Asks all VMs for their time; the counts in their answers are not used. */
@@ -312,10 +307,13 @@
     const {collection} = this;
     const counts = totalCounts(collection?.own, collection?.answers);
     const {era} = this.lease.row;
+    const trust = this.clockTrust(now);
+    if (trust.kind === 'untrusted') return undefined;
+    const {wallOffset} = trust;
     const key = usageKey(step.window);
     return this.lease.row.extend(now, {
       expected: new Map([[key, 0]]),
-      puts: new Map([[key, JSON.stringify({counts, era})]]),
+      puts: new Map([[key, JSON.stringify({counts, era, wallOffset})]]),
       removals: obsoleteRecords(view().rows.usage, bounds, wallMs).map(
         usageKey,
       ),
@@ -390,6 +388,6 @@
       this.log.dropped(window);
       onOutcome('dropped');
     }
-    attempts.removeUpTo(review.reviewedTo);
+    attempts.removeUpTo(review.givenUpTo);
   }
 }
