Review a change of the document in check

Cause: `check` validated one document. It did not report entries that no statement can reach or limits that contradict each other, did not compare with the version in force, and its warnings had no kind of their own.

Change: `reviewDocument` (packages/document/src/review) adds warnings for unused entries and contradicting limits, compares with the version in force and marks changes that close sessions, withdraw or move a key, a route or a service, or disconnect a server. `check` gets `--against` and `--json`. Warnings have a string union of kinds. The exit code for warnings only is 2, which was 0; tests fix 2 for wrong usage, so both share it.

--- a/packages/cli/src/run_cli.ts
+++ b/packages/cli/src/run_cli.ts
@@ -41,13 +41,14 @@
     --environment  trial or production, for status (production)
     --since        first date or time to list, for audit
     --limit        most entries to list, for audit (50)
-    --json         print JSON, for audit
+    --json         print JSON, for audit and check
+    --against      file of the version in force to compare with, for check
 
   Exit codes
     0 done             3 refused, not changed   5 outcome unknown
     1 file has errors  4 platform unavailable,  6 in force, not yet on all
     2 wrong usage        not changed              live VMs
-    7 unexpected fault
+    7 unexpected fault   2 also: check found warnings only
 `;
 
 const FLAGS = {
@@ -63,6 +64,7 @@
   since: {type: 'string', default: ''},
   limit: {type: 'number', default: 50},
   json: {type: 'boolean', default: false},
+  against: {type: 'string'},
 } as const;
 
 /** Parses the command line, runs the command and returns its exit code. */
@@ -93,7 +95,14 @@
     case 'check':
       return path === undefined
         ? usage('check needs the name of a document', out)
-        : runCheck(path, out);
+        : runCheck(
+            {
+              path,
+              against: flags.against,
+              format: flags.json ? 'json' : 'text',
+            },
+            out,
+          );
     case 'trial':
     case 'promote': {
       if (path === undefined) {
--- a/packages/document/src/check_document.ts
+++ b/packages/document/src/check_document.ts
@@ -1,16 +1,17 @@
 import type {Environment} from '@pistachiorill/core';
 import {findConflicts} from './conflict_rules.js';
-import type {DocumentError} from './document_error.js';
+import type {DocumentError, DocumentFinding} from './document_error.js';
 import {parseDocumentSections} from './document_sections.js';
 import type {DocumentSections} from './document_sections.js';
 import {findWarnings} from './document_warnings.js';
+import type {DocumentWarning} from './document_warnings.js';
 import {findInvalidReferences} from './reference_rules.js';
 
 /** The result of checking a document, with errors in line order. */
 export interface DocumentCheck {
   readonly sections: DocumentSections;
   readonly errors: readonly DocumentError[];
-  readonly warnings: readonly DocumentError[];
+  readonly warnings: readonly DocumentWarning[];
 }
 
 /** Checks a document for the given environments and returns all errors. */
@@ -32,6 +33,10 @@
   };
 }
 
-function byLine(a: DocumentError, b: DocumentError): number {
+/** Orders findings by line; those of the whole file come first. */
+export function byLine(
+  a: DocumentFinding<string>,
+  b: DocumentFinding<string>,
+): number {
   return (a.line ?? 0) - (b.line ?? 0);
 }
--- a/packages/document/src/conflict_rules.ts
+++ b/packages/document/src/conflict_rules.ts
@@ -46,7 +46,7 @@
 ): DocumentError[] {
   const key = `address.${environment}` as const;
   const serversByAddress = new Map<string, string>();
-  return sections.backend_server.flatMap(server => {
+  return sections.backend_server.flatMap((server): DocumentError[] => {
     const address = server.values[key];
     if (address === undefined) {
       const detail = `the key is missing; expected host:port for ${environment}`;
--- a/packages/document/src/document_error.ts
+++ b/packages/document/src/document_error.ts
@@ -12,9 +12,9 @@
   | 'unknown-reference'
   | 'conflict';
 
-/** An error in a document or settings file. */
-export interface DocumentError {
-  readonly kind: DocumentErrorKind;
+/** A fault of a document or settings file. `K` is its string union of kinds. */
+export interface DocumentFinding<K extends string> {
+  readonly kind: K;
   /** Line number from 1; undefined for an error of the whole file. */
   readonly line: number | undefined;
   /** Title of the section, or an empty string. */
@@ -25,8 +25,11 @@
   readonly detail: string;
 }
 
-/** Formats an error for operators. */
-export function formatDocumentError(err: DocumentError): string {
+/** An error in a document or settings file. */
+export type DocumentError = DocumentFinding<DocumentErrorKind>;
+
+/** Formats an error or warning for operators. */
+export function formatDocumentError(err: DocumentFinding<string>): string {
   const place = err.line === undefined ? '' : `line ${err.line}: `;
   const section = err.section === '' ? '' : `[${err.section}]`;
   const key = err.key === '' ? '' : `${section === '' ? '' : ' '}${err.key}`;
--- a/packages/document/src/index.ts
+++ b/packages/document/src/index.ts
@@ -10,3 +10,7 @@
 export {parseDocument} from './parse_document.js';
 export {parseProcessSettings} from './process_settings.js';
 export type {ProcessSettings} from './process_settings.js';
+export {reviewDocument} from './review/review_document.js';
+export type {DocumentReview, ReviewVerdict} from './review/review_document.js';
+export type {MarkedChange} from './review/mark_changes.js';
+export type {ReviewFinding, ReviewKind} from './review/review_finding.js';
--- a/packages/document/src/reference_rules.ts
+++ b/packages/document/src/reference_rules.ts
@@ -1,17 +1,17 @@
-import type {DocumentError, DocumentErrorKind} from './document_error.js';
+import type {DocumentError, DocumentFinding} from './document_error.js';
 import type {DocumentSection, ParsedSections} from './document_sections.js';
 import {lineOf, titleOf} from './ini_sections.js';
 import type {SectionKind} from './section_schemas.js';
 
 type AnySection = DocumentSection<SectionKind>;
 
-/** Creates an error at a key of a section. */
-export function errorAt(
+/** Creates an error or warning at a key of a section. */
+export function errorAt<const K extends string>(
   section: AnySection,
   key: string,
-  kind: DocumentErrorKind,
+  kind: K,
   detail: string,
-): DocumentError {
+): DocumentFinding<K> {
   const {source} = section;
   const line = lineOf(source, key);
   return {kind, line, section: titleOf(source), key, detail};
