--- a/packages/cli/src/run_cli.ts
+++ b/packages/cli/src/run_cli.ts
@@ -48,7 +48,7 @@
     0 done             3 refused, not changed   5 outcome unknown
     1 file has errors  4 platform unavailable,  6 in force, not yet on all
     2 wrong usage        not changed              live VMs
-    7 unexpected fault   2 also: check found warnings only
+    7 unexpected fault   8 check found warnings only
 `;
 
 const FLAGS = {
--- a/packages/cli/src/support/exit_code.ts
+++ b/packages/cli/src/support/exit_code.ts
@@ -5,8 +5,6 @@
   invalid: 1,
   /** The command line is wrong. */
   usage: 2,
-  /** `check` found warnings only. Shares its number with wrong usage. */
-  warnings: 2,
   /** Another promotion came first, or the document was not in force in trial. */
   refused: 3,
   /** The platform is unavailable; nothing was changed. */
@@ -17,6 +15,8 @@
   incomplete: 6,
   /** An unexpected exception. */
   fault: 7,
+  /** `check` found warnings only. */
+  warnings: 8,
 } as const;
 
 /** One of `EXIT_CODES`. */
