--- a/packages/cli/src/support/exit_code.ts
+++ b/packages/cli/src/support/exit_code.ts
@@ -15,6 +15,8 @@
   incomplete: 6,
   /** An unexpected exception. */
   fault: 7,
+  /** `check` found warnings only. */
+  warnings: 8,
 } as const;
 
 /** One of `EXIT_CODES`. */
