Answer requests that arrived before a caller's end

A caller that sent more requests than it may have under way and then closed its sending side lost those that were still held: the end of its input dropped them. A session that is disconnected receives what the connection holds as well, up to 64 times. A connection that holds a permit and sends no part of a message is not closed any more.

--- a/packages/gateway/src/callers/__tests__/connection_limiter.test.ts
+++ b/packages/gateway/src/callers/__tests__/connection_limiter.test.ts
@@ -7,6 +7,7 @@
   ownBytes: 0,
   inboundBytes: 0,
   unansweredBytes: 0,
+  waitingBytes: 0,
   outboundBytes: 0,
   lastReceivedAt: 0,
   answered: 0,
@@ -94,7 +95,7 @@
   it('closes an idle one that others wait for', () => {
     const {limiter, connect, seen, sweepAt} = start();
     const items = ['a', 'b', 'c', 'd', 'e', 'f', 'g'].map(name =>
-      connect(name, holding(0.95 * MIB)),
+      connect(name, {...holding(0.95 * MIB), messageSince: 0}),
     );
     for (const {connection} of items) limiter.mayRead(connection);
     sweepAt(3_000);
@@ -159,4 +160,16 @@
     seen.push(`f: ${limiter.admit('f')}`);
     expect(seen).toMatchSnapshot();
   });
+
+  // Guards against a caller that is closed while it waits for its answer, as it
+  // still holds the permit under which its message was completed.
+  it('keeps a connection that has a permit and sends nothing', () => {
+    const {limiter, connect, seen, sweepAt} = start();
+    const items = ['a', 'b', 'c', 'd', 'e', 'f', 'g'].map(name =>
+      connect(name, holding(0.95 * MIB)),
+    );
+    for (const {connection} of items) limiter.mayRead(connection);
+    sweepAt(3_000);
+    expect(seen.filter(text => text.includes('closed'))).toEqual([]);
+  });
 });
--- a/packages/gateway/src/callers/connection_limiter.ts
+++ b/packages/gateway/src/callers/connection_limiter.ts
@@ -37,6 +37,8 @@
   readonly inboundBytes: number;
   /** The part of them that is in use until its statements are answered. */
   readonly unansweredBytes: number;
+  /** The part that arrives while the connection waits for the process. */
+  readonly waitingBytes: number;
   /** Answers that are not sent yet. */
   readonly outboundBytes: number;
   readonly lastReceivedAt: number;
@@ -258,12 +260,13 @@
     const candidates = this.openConnections().map(connection => {
       this.count(connection);
       const use = connection.use();
+      const isInbound = direction === 'inboundBytes';
       return {
         connection,
-        bytes:
-          direction === 'inboundBytes'
-            ? use.inboundBytes - use.unansweredBytes
-            : use.outboundBytes,
+        bytes: isInbound
+          ? use.inboundBytes - use.unansweredBytes - use.waitingBytes
+          : use.outboundBytes,
+        freedBytes: use[direction],
         answered: use.answered,
         protection: isProtected(use, now) ? 'transaction' : 'none',
       } as const;
@@ -291,7 +294,11 @@
     const use = connection.use();
     if (now - use.lastReceivedAt < PERMIT_IDLE_MS) return;
     this.permits.delete(connection);
-    if (!isProtected(use, now)) this.close(connection, 'process-memory');
+    // Without a part of a message it waits for its answer or is idle.
+    const isSending = use.messageSince !== undefined;
+    if (isSending && !isProtected(use, now)) {
+      this.close(connection, 'process-memory');
+    }
   }
 }
 
--- a/packages/gateway/src/session/session_closing.ts
+++ b/packages/gateway/src/session/session_closing.ts
@@ -5,6 +5,12 @@
 /** A caller that was asked to close is disconnected after this time. */
 const CALLER_CLOSE_TIMEOUT_MS = 1_000;
 
+/**
+ * A caller that goes on sending is disconnected after this many further rounds
+ * of answers.
+ */
+const MAX_DISCONNECT_ROUNDS = 64;
+
 /**
  * How far a session is in ending. `draining` waits until no transaction is open,
  * `closing` does not, and `disconnecting` no longer waits for the caller.
@@ -30,6 +36,7 @@
   private mode: ClosingMode = 'none';
   private request: CloseRequest = 'none';
   private reason: SessionRefusal = {kind: 'busy', detail: 'the session ends'};
+  private disconnectRounds = 0;
   private readonly timer: IdleTimer;
 
   constructor(
@@ -54,6 +61,11 @@
     return this.mode === 'disconnecting';
   }
 
+  /** Whether requests that arrived before the disconnection are still answered. */
+  mayAnswerMore(): boolean {
+    return this.disconnectRounds++ < MAX_DISCONNECT_ROUNDS;
+  }
+
   /** Ends the session once no transaction is open. */
   drain(reason: SessionRefusal): void {
     if (this.mode !== 'none') return;
--- a/packages/gateway/src/session/session_task.ts
+++ b/packages/gateway/src/session/session_task.ts
@@ -361,6 +361,8 @@
   private async closeIfIdle(): Promise<void> {
     if (this.backlog > 0 || this.phase === 'closed') return;
     if (this.closing.isDisconnecting) {
+      await this.link.receivePending();
+      if (this.backlog > 0 && this.closing.mayAnswerMore()) return;
       await this.ended();
       return;
     }
