Count all that a closed connection gives back

Shedding measured the excess with the statements under way and what it freed without them, so that it closed ordinary connections as well.

--- a/packages/core/src/admission/__tests__/client_limit.test.ts
+++ b/packages/core/src/admission/__tests__/client_limit.test.ts
@@ -97,6 +97,7 @@
         candidates.map(([connection, bytes, answered, protection]) => ({
           connection,
           bytes,
+          freedBytes: bytes,
           answered,
           protection,
         })),
@@ -104,4 +105,17 @@
       );
     expect([0, 1, 801, 1_200, 9_999].map(select)).toMatchSnapshot();
   });
+
+  // Guards against closing ordinary connections as well, although those that are
+  // closed first hold statements which the budget gets back with them.
+  it('counts all that a closed connection gives back', () => {
+    const candidates = [1, 2, 3, 4].map(connection => ({
+      connection,
+      bytes: 10,
+      freedBytes: connection === 1 ? 500 : 10,
+      answered: connection,
+      protection: 'none' as const,
+    }));
+    expect(selectForShedding(candidates, 400)).toEqual([1]);
+  });
 });
--- a/packages/core/src/admission/select_for_shedding.ts
+++ b/packages/core/src/admission/select_for_shedding.ts
@@ -1,7 +1,10 @@
 /** A connection that may be closed to free memory. */
 export interface SheddingCandidate<T> {
   readonly connection: T;
+  /** What the connection is charged for. */
   readonly bytes: number;
+  /** What the budget gets back if it is closed. */
+  readonly freedBytes: number;
   /** Answers that the client got so far. */
   readonly answered: number;
   /** An open transaction whose answers are read is not given up. */
@@ -23,10 +26,10 @@
     .sort((a, b) => b.cost - a.cost);
   const selected: T[] = [];
   let freedBytes = 0;
-  for (const {connection, bytes} of ordered) {
+  for (const item of ordered) {
     if (freedBytes >= excessBytes) break;
-    selected.push(connection);
-    freedBytes += bytes;
+    selected.push(item.connection);
+    freedBytes += item.freedBytes;
   }
   return selected;
 }
