Conclude a write with a large answer as unknown

A write or commit whose answer exceeded the limits was reported as failed although it may have taken effect; the usage counts missed it.

--- a/packages/gateway/src/callers/answer_budget.ts
+++ b/packages/gateway/src/callers/answer_budget.ts
@@ -1,5 +1,8 @@
 import type {LimitReporter} from './limit_reporter.js';
 
+/** Large answers must not take the short ones of other callers with them. */
+const SMALL_ANSWER_BYTES = 65_536;
+
 /**
  * Counts the bytes of members' answers that are not complete. They are kept as
  * a whole, as an answer counts only with its end.
@@ -25,7 +28,10 @@
       this.reporter.exceeded('answer-size', 'members', address);
       return 'exceeded';
     }
-    if (this.heldBytes > this.maxTotalBytes) {
+    if (
+      afterBytes > SMALL_ANSWER_BYTES &&
+      this.heldBytes > this.maxTotalBytes
+    ) {
       this.reporter.exceeded('process-memory', 'members', address);
       return 'exceeded';
     }
--- a/packages/gateway/src/database/member_connection.ts
+++ b/packages/gateway/src/database/member_connection.ts
@@ -52,6 +52,8 @@
   readonly detail: string;
   /** The member's error, if it sent one. */
   readonly error?: MemberError;
+  /** Set if the member ran the statement and its answer was not kept. */
+  readonly answer?: 'too-large';
   /** The applied log position that the member sent with its error. */
   readonly applied?: LogPosition | undefined;
 }
@@ -329,7 +331,7 @@
       return {failure: 'no-answer', detail: fault.detail};
     // Another member's response would be as large.
     case 'too-large':
-      return {failure: 'failed', detail: fault.detail};
+      return {failure: 'failed', detail: fault.detail, answer: 'too-large'};
     case 'silent':
       return {
         failure: 'no-answer',
@@ -340,7 +342,9 @@
 
 /** Whether a member began to run a statement, or may have. */
 function hasBegun(sent: Result<MemberAnswer, LinkFault>): boolean {
-  if (!sent.ok) return sent.err.kind === 'broken' || sent.err.kind === 'silent';
+  if (!sent.ok) {
+    return ['broken', 'silent', 'too-large'].includes(sent.err.kind);
+  }
   const {outcome} = sent.value;
   if (outcome.kind === 'done') return true;
   switch (outcome.error.kind) {
--- a/packages/gateway/src/session/conclude_fault.ts
+++ b/packages/gateway/src/session/conclude_fault.ts
@@ -12,7 +12,10 @@
   scope: 'first' | 'pinned',
   fault: JobFault,
 ): {conclusion: 'retry' | 'final'; refusal: SessionRefusal} {
-  switch (concludeAttempt(effect, scope, fault.failure)) {
+  // A write whose answer is lost may have taken effect.
+  const isUnknown = fault.answer === 'too-large' && effect !== 'read';
+  const failure = isUnknown ? 'no-answer' : fault.failure;
+  switch (concludeAttempt(effect, scope, failure)) {
     case 'retry':
       return {conclusion: 'retry', refusal: busyRefusal(fault.detail, 50)};
     case 'nothing-kept':
