Give the middle priorities a part of the grants

With three priorities waiting the middle one got no grant while the first had a backlog. The eighth grant goes to the less urgent priorities in turn. A failure no longer ends the pause after a refusal as busy.

--- a/packages/core/src/admission/adaptive_concurrency.ts
+++ b/packages/core/src/admission/adaptive_concurrency.ts
@@ -277,11 +277,11 @@
   return {
     ...state,
     reason,
-    limit,
+    // A pause after a refusal as busy goes on.
+    limit: Math.min(state.limit, limit),
     threshold: Math.max(1, limit),
     recentCount: 0,
     decreasedAt: now,
-    pausedUntil: -Infinity,
     roundAt: now,
     roundMaximum: Math.max(1, limit * 2),
     answersAtFull: 0,
--- a/packages/core/src/admission/priority_policy.ts
+++ b/packages/core/src/admission/priority_policy.ts
@@ -2,8 +2,8 @@
 import {QueuePolicy} from './queue_policy.js';
 import type {EnqueueOutcome, QueueEntry} from './queue_policy.js';
 
-/** One grant in this number goes to the least urgent waiting class. */
-const LEAST_URGENT_TURN = 8;
+/** One grant in this number goes to the less urgent waiting classes in turn. */
+const LESS_URGENT_TURN = 8;
 /** The weight of the latest grant in the moving average of the shares. */
 const SHARE_WEIGHT = 0.05;
 
@@ -17,8 +17,8 @@
 
 /**
  * Serves the most urgent class first (0 is the most urgent) and the workspaces of
- * a class in turn. A part of the grants goes to the least urgent waiting class,
- * so that it is not starved. With one class only, the order is that of
+ * a class in turn. A part of the grants goes to the less urgent classes in turn, so
+ * that none is starved. With one class only, the order is that of
  * `DeficitRoundRobinPolicy`.
  */
 export class PriorityPolicy<T> extends QueuePolicy<T> {
@@ -26,6 +26,7 @@
   private readonly classes: Array<PriorityClass<T>> = [];
   private readonly countByWorkspace = new Map<string, number>();
   private turn = 0;
+  private lessUrgentTurn = 0;
   /** Restores the turn and the shares if the last grant was not possible. */
   private undoGrant: () => void = () => undefined;
 
@@ -47,19 +48,23 @@
     order: 'by-turns' | 'most-urgent' = 'by-turns',
   ): QueueEntry<T> | undefined {
     const waiting = this.classes.filter(({queue}) => queue.size > 0);
-    const {turn} = this;
+    const {turn, lessUrgentTurn} = this;
     const shares = this.classes.map(({share}) => share);
     this.undoGrant = () => {
       this.turn = turn;
+      this.lessUrgentTurn = lessUrgentTurn;
       shares.forEach((share, index) => {
         const item = this.classes[index];
         if (item) item.share = share;
       });
     };
     const hasTurns = waiting.length > 1 && order === 'by-turns';
-    if (hasTurns) this.turn = (turn + 1) % LEAST_URGENT_TURN;
-    const isLeastUrgentTurn = hasTurns && this.turn === 0;
-    const next = isLeastUrgentTurn ? waiting.at(-1) : waiting[0];
+    if (hasTurns) this.turn = (turn + 1) % LESS_URGENT_TURN;
+    const isLessUrgentTurn = hasTurns && this.turn === 0;
+    if (isLessUrgentTurn) this.lessUrgentTurn++;
+    const next = isLessUrgentTurn
+      ? waiting[waiting.length - 1 - (lessUrgentTurn % (waiting.length - 1))]
+      : waiting[0];
     const entry = next?.queue.dequeue();
     if (!entry) return undefined;
     this.uncount(entry);
@@ -118,7 +123,7 @@
         hasLessUrgent = true;
       }
     }
-    const least = 1 / LEAST_URGENT_TURN;
+    const least = 1 / LESS_URGENT_TURN;
     const share = hasLessUrgent
       ? Math.max(least, 1 - urgentShare - least)
       : Math.max(least, 1 - urgentShare);
