--- a/packages/entry/src/http/status_server.ts
+++ b/packages/entry/src/http/status_server.ts
@@ -8,7 +8,7 @@
 /** Whether the platform's load balancer should send clients to this VM. */
 export type Readiness = 'ready' | 'not-ready';
 
-/** The limits of the server and who is told when one is exceeded. */
+/** The limits of the server and the listener for exceeded ones. */
 export interface StatusServerLimits extends HttpServerLimits {
   readonly onExceeded: OnExceeded;
 }
--- a/packages/gateway/src/testing/simulated_load.ts
+++ b/packages/gateway/src/testing/simulated_load.ts
@@ -306,7 +306,7 @@
     this.time.after(plan.delayMs, () => this.arrive(req));
   }
 
-  /** The caller repeats a refused request after the delay that it was told. */
+  /** The caller repeats a refused request after the delay of the refusal. */
   private refused(req: Request, retryAfterMs: number): void {
     const {now} = this.time;
     const at = now + retryAfterMs + ONE_WAY_MS * 2;
--- a/packages/gateway/src/usage/report_task.ts
+++ b/packages/gateway/src/usage/report_task.ts
@@ -110,7 +110,7 @@
   }
 
   private async tick(): Promise<void> {
-    // Reading the clock detects a jump, which tasks are told of before this goes
+    // Reading the clock detects a jump. Tasks handle that message before this goes
     // on; otherwise the jump would move this step to another window.
     this.deps.clock();
     await settled();
--- a/packages/mysql/src/connection_guard.ts
+++ b/packages/mysql/src/connection_guard.ts
@@ -19,7 +19,7 @@
 
 /**
  * Applies the limits of a process to its connections: it owns the budget that
- * the connections share and is told of each limit that one exceeds.
+ * the connections share and receives each report of an exceeded limit.
  */
 export abstract class ConnectionGuard {
   abstract readonly limits: ClientLimits;
