Count a transaction as one request in usage reports

The reports counted every statement of a transaction, and its commit; a request is a single statement or a whole transaction. A statement counts only if its connection is not inside a transaction. 'counts a transaction once' failed before (4 instead of 2).

--- a/packages/gateway/src/database/__tests__/begun_statements.test.ts
+++ b/packages/gateway/src/database/__tests__/begun_statements.test.ts
@@ -114,4 +114,37 @@
     await ask<JobResult>(reply => connection.tell({kind: 'run', job, reply}));
     expect(reported).toEqual(['begun']);
   });
+
+  // Guards against a transaction that is counted once for each of its statements,
+  // although it is one request.
+  it('counts a transaction once', async () => {
+    const links = new FakeLinkFactory();
+    links.add('a');
+    const target = {member: 'a', address: 'a:1', group: 'wash'};
+    const reported: string[] = [];
+    const connection = new MemberConnection(
+      'a',
+      links.create(target, 'growers'),
+      () => 0,
+      {
+        onSent: () => undefined,
+        onAnswered: () => undefined,
+        onFault: () => undefined,
+        onStatement: state => reported.push(state),
+      },
+      () => undefined,
+    );
+    const {values, request, deadline} = JOB;
+    const commit = {id: 'r3', command: {kind: 'commit'}} as const;
+    for (const job of [
+      JOB,
+      {values, request: {...request, id: 'r2'}, deadline},
+      {values, request: commit, deadline},
+      {values, request: {...request, id: 'r4'}, deadline},
+    ]) {
+      await ask<JobResult>(reply => connection.tell({kind: 'run', job, reply}));
+    }
+    // The transaction, and the single statement behind it.
+    expect(reported).toEqual(['begun', 'begun']);
+  });
 });
--- a/packages/gateway/src/database/database_tools.ts
+++ b/packages/gateway/src/database/database_tools.ts
@@ -41,9 +41,9 @@
     since: number,
   ) => void;
   /**
-   * Called for each statement of a workspace that is sent to a member, with the
-   * time at which the member begins it, and again if it did not begin; undefined
-   * if statements are not counted.
+   * Called for each single statement, and for the first one of a transaction, of
+   * a workspace that is sent to a member, with the time at which the member begins
+   * it, and again if it did not begin; undefined if they are not counted.
    */
   readonly onStatement?: StatementCounter | undefined;
   readonly log: Logger;
--- a/packages/gateway/src/database/member_connection.ts
+++ b/packages/gateway/src/database/member_connection.ts
@@ -160,6 +160,8 @@
 
   private async run(job: ConnectionJob): Promise<JobResult> {
     const {request, deadline} = job;
+    // A transaction is one request, which begins with its first statement.
+    const isFirst = this.recordedState !== 'in-transaction';
     const ready = await this.prepare(job);
     if (!ready.ok) return ready;
     const sentAt = this.clock();
@@ -169,7 +171,8 @@
     const work = request.id === undefined ? 'setup' : 'statement';
     // Requests take the same time to the member as responses take back.
     const begunAt = sentAt + this.shortestRoundTripMs / 2;
-    const isCounted = work === 'statement' && request.id !== NO_STATEMENT_ID;
+    const isCounted =
+      isFirst && work === 'statement' && request.id !== NO_STATEMENT_ID;
     if (isCounted) this.events.onStatement('begun', begunAt);
     const sent = await this.send(
       this.withStatementName(job, request),
