--- a/packages/core/src/owners/select_owners.ts
+++ b/packages/core/src/owners/select_owners.ts
@@ -2,8 +2,8 @@
 import {weightedRendezvousOrder} from '../common/rendezvous.js';
 
 /**
- * The number of VMs per data centre that own a group's connections. With 2, each
- * with a third of a core, the owners ran out of processor time in a burst.
+ * The number of VMs per data centre that own a group's connections. With 2, one
+ * would carry a data centre alone while the other restarts.
  */
 const OWNERS_PER_DATA_CENTRE = 4;
 /** With fewer connections per VM than this, a VM can keep none idle. */
