Build each program from the packages of its own checkout

What callers saw: reads that lacked an earlier commit of their session (review/3, STALE) although the checkout contained the fix; review/2 held. One of two ways that were found by which a checkout with the fix runs the code without it; whether the users' runs met it is not shown. Cause: the bundler found our own packages by way of node_modules, where npm leaves a link to each. Where node_modules is a link to that of another checkout, these are the other checkout's packages, and nothing reports it.

--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -1,6 +1,8 @@
 import {defineConfig} from 'vitest/config';
+import {aliases} from './vitest.aliases.js';
 
 export default defineConfig({
+  resolve: {alias: aliases},
   test: {
     include: [
       'packages/*/src/**/__tests__/**/*.test.ts',
