Remove the program of an earlier build if a build fails

Cause: the bundler writes its output only when it succeeds, and the output of the build before stayed in target/. Change: a build that fails removes the programs that it was to replace, and one that succeeds replaces each by a rename, as tests build the gateway while others start it. This works because no file is left that could be taken for the new code.

--- a/scripts/build_gateway.mjs
+++ b/scripts/build_gateway.mjs
@@ -1,18 +1,23 @@
 /** Bundles the gateway into one file that is deployed to the platform's VMs. */
-import {build} from 'esbuild';
+import {buildPrograms} from './build_programs.mjs';
 
-await build({
-  entryPoints: ['platform/src/main.ts'],
-  outfile: 'target/pistachiorill.mjs',
-  bundle: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'esm',
-  minify: true,
-  external: ['dtrace-provider', 'mv', 'safe-json-stringify'],
-  // CommonJS dependencies call `require`, which ES modules don't define.
-  banner: {
-    js: "import {createRequire as createBundleRequire} from 'node:module'; const require = createBundleRequire(import.meta.url);",
+const PROGRAM = 'target/pistachiorill.mjs';
+
+await buildPrograms(
+  {
+    entryPoints: ['platform/src/main.ts'],
+    outfile: PROGRAM,
+    bundle: true,
+    platform: 'node',
+    target: 'node20',
+    format: 'esm',
+    minify: true,
+    external: ['dtrace-provider', 'mv', 'safe-json-stringify'],
+    // CommonJS dependencies call `require`, which ES modules don't define.
+    banner: {
+      js: "import {createRequire as createBundleRequire} from 'node:module'; const require = createBundleRequire(import.meta.url);",
+    },
+    logLevel: 'warning',
   },
-  logLevel: 'warning',
-});
+  [PROGRAM],
+);
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -2,7 +2,7 @@
  * Bundles the programs into `build`, each into one file: the proxy, the
  * stand-ins, the demo, the experiments, the soak test and the measurements.
  */
-import {build} from 'esbuild';
+import {buildPrograms} from './build_programs.mjs';
 
 const PROGRAMS = {
   pistachiorill: 'packages/cli/src/main.ts',
@@ -17,18 +17,21 @@
   measure_forwarding: 'packages/launcher/src/measure/forwarding.ts',
 };
 
-await build({
-  entryPoints: PROGRAMS,
-  outdir: 'build',
-  outExtension: {'.js': '.mjs'},
-  bundle: true,
-  platform: 'node',
-  target: 'node20',
-  format: 'esm',
-  external: ['canvas', 'dtrace-provider', 'sql.js'],
-  // CommonJS dependencies call `require`, which ES modules don't define.
-  banner: {
-    js: "import {createRequire as createBundleRequire} from 'node:module'; const require = createBundleRequire(import.meta.url);",
+await buildPrograms(
+  {
+    entryPoints: PROGRAMS,
+    outdir: 'build',
+    outExtension: {'.js': '.mjs'},
+    bundle: true,
+    platform: 'node',
+    target: 'node20',
+    format: 'esm',
+    external: ['canvas', 'dtrace-provider', 'sql.js'],
+    // CommonJS dependencies call `require`, which ES modules don't define.
+    banner: {
+      js: "import {createRequire as createBundleRequire} from 'node:module'; const require = createBundleRequire(import.meta.url);",
+    },
+    logLevel: 'warning',
   },
-  logLevel: 'warning',
-});
+  Object.keys(PROGRAMS).map(name => `build/${name}.mjs`),
+);
