Log the build of a process and where statements run after a route moved

No record held the build of a process, or a read's group, member and required position. A session whose route leads to another group than before logs session.moved with the position of its own commits there; for 10 s from then on statement.placed tells the group, member, role and required position of each of its statements, also on an owner that runs it. Sessions whose route does not move log nothing more.

--- a/packages/entry/src/daemon/entry_daemon.ts
+++ b/packages/entry/src/daemon/entry_daemon.ts
@@ -22,7 +22,12 @@
 import type {TableService, VmStatus} from '@pistachiorill/store';
 import {ask} from '@pistachiorill/tasks';
 import type {Clock} from '@pistachiorill/tasks';
-import {AuditTask, Metrics, createLogger} from '@pistachiorill/telemetry';
+import {
+  AuditTask,
+  BUILD_ID,
+  Metrics,
+  createLogger,
+} from '@pistachiorill/telemetry';
 import type {AuditEntry, Logger} from '@pistachiorill/telemetry';
 import type {ClientRegistry} from '../caller/client_registry.js';
 import {ConnectionTask} from '../caller/connection_task.js';
@@ -194,7 +199,7 @@
     await this.peers.start();
     this.quota.start();
     this.configuration.tell({kind: 'poll'});
-    this.log.info({event: 'entry.started'}, 'entry started');
+    this.log.info({event: 'entry.started', build: BUILD_ID}, 'entry started');
   }
 
   /**
--- a/packages/gateway/src/daemon/gateway_daemon.ts
+++ b/packages/gateway/src/daemon/gateway_daemon.ts
@@ -3,6 +3,7 @@
 import type {PeerServer} from '@pistachiorill/peers';
 import type {RuntimeConfiguration} from '@pistachiorill/core';
 import {Pipeline, ask} from '@pistachiorill/tasks';
+import {BUILD_ID} from '@pistachiorill/telemetry';
 import type {Logger} from '@pistachiorill/telemetry';
 import type {DatabaseTask} from '../database/database_task.js';
 import {LimitReporter} from '../callers/limit_reporter.js';
@@ -277,7 +278,8 @@
     this.leadership.tell({kind: 'review'});
     this.shareAllocator.tell({kind: 'keep'});
     this.usage?.start();
-    this.log.info({event: 'gateway.started', listen}, 'gateway started');
+    const started = {event: 'gateway.started', build: BUILD_ID, listen};
+    this.log.info(started, 'gateway started');
   }
 
   /** Stops gracefully: running work may finish within the grace period. */
--- a/packages/gateway/src/owners/__tests__/owner_load.test.ts
+++ b/packages/gateway/src/owners/__tests__/owner_load.test.ts
@@ -232,6 +232,7 @@
     begin: isTransaction ? 'write' : undefined,
     values: new Map(),
     positions: new SessionPositions(),
+    placementLog: 'off',
     configuration: undefined,
     route,
     workspace,
--- a/packages/gateway/src/owners/forward_request.ts
+++ b/packages/gateway/src/owners/forward_request.ts
@@ -52,6 +52,7 @@
 ): ExecuteRequest {
   const {id, command, access, prepared, begin, values, route} = statement;
   const {database, key, workspace, caller, regions, positions} = statement;
+  const {placementLog} = statement;
   return {
     id,
     command: command as ExecuteRequest['command'],
@@ -67,6 +68,7 @@
     caller,
     regions: [...regions],
     position: positions.of(route.group),
+    placementLog: placementLog === 'on' ? placementLog : undefined,
     route: {...route, regions: [...route.regions]},
     transaction,
   };
@@ -98,6 +100,7 @@
 ): RoutedStatement {
   const {id, command, access, prepared, begin, values, route, position} = req;
   const {database, key, keyCheckedAt, workspace, caller, regions} = req;
+  const {placementLog} = req;
   return {
     id,
     database,
@@ -110,6 +113,7 @@
     begin,
     values: toValues(values),
     positions: {of: () => position},
+    placementLog: placementLog ?? 'off',
     configuration: undefined,
     route,
     workspace,
--- a/packages/gateway/src/owners/forward_schema.ts
+++ b/packages/gateway/src/owners/forward_schema.ts
@@ -66,6 +66,8 @@
   begin: ACCESS.optional(),
   /** What the session has seen in the group of the route. */
   position: POSITION,
+  /** Whether the owner logs which member runs the statement. */
+  placementLog: z.literal('on').optional(),
   route: z.object({
     name: TEXT,
     database: TEXT,
--- a/packages/gateway/src/session/__tests__/place_filter.test.ts
+++ b/packages/gateway/src/session/__tests__/place_filter.test.ts
@@ -38,6 +38,7 @@
     access,
     values: new Map(),
     positions: new SessionPositions(),
+    placementLog: 'off',
     configuration: undefined,
     route: {...ROUTE, ...route},
     workspace: 'growers',
--- a/packages/gateway/src/session/place_filter.ts
+++ b/packages/gateway/src/session/place_filter.ts
@@ -182,6 +182,7 @@
         return fail({conclusion: 'final', refusal});
       }
       member = checkedOut.value.member;
+      this.logPlacement(statement, checkedOut.value);
       return this.execute(database, checkedOut.value, statement);
     };
     return {done: run(), member: () => member};
@@ -302,6 +303,27 @@
     });
   }
 
+  /** Tells why a read could be older than a commit of its session. */
+  private logPlacement(statement: RoutedStatement, checkout: Checkout): void {
+    if (statement.placementLog === 'off') return;
+    const {id, access, route, positions} = statement;
+    const {member, role, after} = checkout;
+    this.deps.log.info(
+      {
+        event: 'statement.placed',
+        request: id,
+        access,
+        group: route.group,
+        member,
+        role,
+        after,
+        own: positions.of(route.group),
+        configuration: this.deps.configuration()?.version,
+      },
+      'chose the member that runs a statement',
+    );
+  }
+
   private logFailure(
     statement: RoutedStatement,
     {conclusion, refusal, member}: FailedAttempt,
--- a/packages/gateway/src/session/session_records.ts
+++ b/packages/gateway/src/session/session_records.ts
@@ -1,5 +1,7 @@
 import type {SessionRefusal} from '../ports/caller_link.js';
 import type {MemberTransaction} from './member_transaction.js';
+import type {RouteMove} from './route_moves.js';
+import type {SessionPosition} from './session_positions.js';
 import type {SessionDependencies, SessionMessage} from './session_message.js';
 
 /** Longer names of requests are cut in records. */
@@ -41,6 +43,28 @@
   );
 }
 
+/** Logs that the route of a session leads to another group than before. */
+export function recordRouteMove(
+  {log, configuration}: RecordingDependencies,
+  request: string,
+  database: string,
+  {from, to}: RouteMove,
+  own: SessionPosition,
+): void {
+  log.info(
+    {
+      event: 'session.moved',
+      request: shorten(request),
+      database: shorten(database),
+      from,
+      group: to,
+      own,
+      configuration: configuration()?.version,
+    },
+    'the route of a session leads to another group',
+  );
+}
+
 /** Counts and logs the refusal of a session. */
 export function recordSessionRefusal(
   {log, metrics}: RecordingDependencies,
--- a/packages/gateway/src/session/session_statement.ts
+++ b/packages/gateway/src/session/session_statement.ts
@@ -6,6 +6,7 @@
   StatementAccess,
 } from '@pistachiorill/core';
 import type {MemberCommand} from '../ports/member_link.js';
+import type {PlacementLog} from './route_moves.js';
 import type {SessionPositions} from './session_positions.js';
 
 /** A statement to run on a member, with the state of its session. */
@@ -23,6 +24,7 @@
   readonly values: SessionValues;
   /** What reads of the session must see in each group. */
   readonly positions: Pick<SessionPositions, 'of'>;
+  readonly placementLog: PlacementLog;
   /** Undefined until the VM has received a configuration. */
   readonly configuration: RuntimeConfiguration | undefined;
 }
--- a/packages/gateway/src/session/session_task.ts
+++ b/packages/gateway/src/session/session_task.ts
@@ -15,6 +15,7 @@
 import {checkAccess} from './session_access.js';
 import type {SessionMessage, SessionDependencies} from './session_message.js';
 import {SessionClosing} from './session_closing.js';
+import {SessionHistory} from './session_history.js';
 import {
   LOGIN_TOO_LARGE,
   MESSAGE_TOO_LARGE,
@@ -23,7 +24,6 @@
   UNEXPECTED_ERROR,
   VM_STOPS,
 } from './session_refusals.js';
-import {SessionPositions} from './session_positions.js';
 import {LOCAL_REPLY, SessionSettings} from './session_settings.js';
 import {
   recordAfterClose,
@@ -43,7 +43,7 @@
   private readonly closing: SessionClosing;
   private readonly settings: SessionSettings;
   private transaction: SessionTransaction = {kind: 'none'};
-  private readonly positions = new SessionPositions();
+  private readonly history: SessionHistory;
   private readonly replies: StatementReplies;
   private readonly idleTimer = new IdleTimer(() =>
     this.tell({kind: 'transaction-idle'}),
@@ -59,6 +59,7 @@
       this.tell({kind: 'disconnect'}),
     );
     this.settings = new SessionSettings(deps.maxStateBytes);
+    this.history = new SessionHistory(deps, () => this.database);
     this.replies = new StatementReplies(
       link,
       deps,
@@ -287,7 +288,7 @@
     if (isCommit) this.transaction = {kind: 'none'};
     const hasCommitted =
       isCommit || (access === 'write' && transaction.kind === 'none');
-    if (hasCommitted) this.positions.committed(group, answer.applied);
+    if (hasCommitted) this.history.committed(group, answer.applied);
     this.deps.metrics.answered(access, this.deps.clock() - receivedAt);
     this.replies.send({kind: 'member', answer}, answer.applied);
   }
@@ -307,8 +308,7 @@
       receivedAt,
       begin: transaction.kind === 'begun' ? transaction.access : undefined,
       values: new Map(this.settings.values),
-      positions: this.positions,
-      configuration: this.deps.configuration(),
+      ...this.history.next(id, this.deps.clock()),
     });
     if (!result.ok) return result;
     const {transaction: opened} = result.value;
--- a/packages/gateway/src/telemetry/gateway_metrics.ts
+++ b/packages/gateway/src/telemetry/gateway_metrics.ts
@@ -1,3 +1,4 @@
+import {BUILD_ID} from '@pistachiorill/telemetry';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
 const LATENCY_BUCKETS_S = [0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 2, 6];
@@ -14,6 +15,15 @@
     registers: [this.registry],
   });
 
+  constructor() {
+    new Gauge({
+      name: 'pistachiorill_gateway_build_info',
+      help: 'Always 1; the label names the program that the process runs.',
+      labelNames: ['build'],
+      registers: [this.registry],
+    }).set({build: BUILD_ID}, 1);
+  }
+
   private readonly refusals = new Counter({
     name: 'pistachiorill_gateway_refusals_total',
     help: 'Statements and sessions that were refused, by reason.',
--- a/packages/gateway/src/testing/fake_session.ts
+++ b/packages/gateway/src/testing/fake_session.ts
@@ -7,9 +7,10 @@
 import {RunFilter} from '../session/run_filter.js';
 import type {RoutedStatement} from '../session/session_statement.js';
 import {SessionTask} from '../session/session_task.js';
+import type {Logger} from '@pistachiorill/telemetry';
 import {GatewayMetrics} from '../telemetry/gateway_metrics.js';
 import {FakeCaller} from './fake_caller.js';
-import {FakeGroup, silentLogger} from './fake_group.js';
+import {FakeGroup} from './fake_group.js';
 
 type SessionRunFilter = Filter<RoutedStatement, FirstAnswer, SessionRefusal>;
 
@@ -45,6 +46,9 @@
 
 const MAX_STATE_BYTES = 1_000;
 
+/** The fields of a log record. */
+type LogRecord = Readonly<Record<string, unknown>>;
+
 /**
  * Starts a session with a fake caller and a group of fake members. `others` are
  * further groups by name, to which a test can move the route. `wrap` puts a
@@ -57,7 +61,8 @@
 ) {
   const fake = new FakeGroup(connectionLimit);
   const clock = (): number => performance.now();
-  const log = silentLogger();
+  const records: LogRecord[] = [];
+  const log = recordingLogger(records);
   const database = (name: string) => (others.get(name) ?? fake).task;
   const state = {configuration: SESSION_CONFIGURATION};
   const caller = new FakeCaller();
@@ -100,7 +105,16 @@
   };
   caller.onCloseRequested = () =>
     session.tell({kind: 'event', event: {kind: 'ended'}, receivedAt: clock()});
-  return {fake, caller, metrics, session, state, open, run};
+  return {fake, caller, metrics, session, state, open, run, records};
+}
+
+/** A logger that keeps its records. */
+function recordingLogger(records: LogRecord[]): Logger {
+  const record = (item: LogRecord): void => {
+    records.push(item);
+  };
+  const log = {info: record, warn: record, error: record};
+  return log as unknown as Logger;
 }
 
 /** Waits for pending statements to finish. */
