Move routes between groups in the soak

Change: the fault 'routes-moved' moves the routes that read their own writes to the other group and back, every 0.15 s on average, while replicas lag by less than these routes tolerate. It has random numbers of its own, so that seeds keep the faults they had, and is left out of planned work, around which nothing may be disturbed. Stale reads are judged by the group of the member that ran the read instead of that in the name of the database, which is the same without moves. Seed 708 is kept as a regression case.

--- a/soak/src/__tests__/soak.test.ts
+++ b/soak/src/__tests__/soak.test.ts
@@ -17,6 +17,7 @@
   [8, 'as seed 1'],
   [10, 'a stand-in showed fewer commits after a promotion; later as seed 1'],
   [12, 'as seed 1'],
+  [708, 'a session kept its position without the group that it belongs to'],
 ];
 
 describe('soak', () => {
--- a/soak/src/checks/__tests__/check_history.test.ts
+++ b/soak/src/checks/__tests__/check_history.test.ts
@@ -33,6 +33,7 @@
   return {
     id,
     text,
+    group: 'wash',
     member: 'wash-a',
     connection: 1,
     transaction: 0,
@@ -188,6 +189,20 @@
       changeOperation(history, 2, {database: 'own'});
     },
   ],
+  [
+    'an own read that lacks a commit in the group to which its route moved',
+    history => {
+      changeRun(history, 'r1', {sees: FIRST});
+      changeOperation(history, 2, {database: 'own', group: 'label'});
+    },
+  ],
+  [
+    'an own read after its route moved to a group without commits',
+    history => {
+      changeRun(history, 'r1', {group: 'label', sees: undefined});
+      changeOperation(history, 2, {database: 'own'});
+    },
+  ],
   [
     'a read that lacks what a promotion rolled back',
     history => {
--- a/soak/src/checks/check_history.ts
+++ b/soak/src/checks/check_history.ts
@@ -249,29 +249,28 @@
         .map(commit => ({commit, endedAt, session})),
     );
   return operations.flatMap(operation => {
-    const {group, database, session, statements, startedAt} = operation;
+    const {database, session, statements, startedAt} = operation;
     const needed = acknowledged.filter(
-      ({commit, endedAt, session: writer}) =>
-        commit.group === group &&
-        (endedAt < startedAt - MAX_READ_AGE_MS[database] ||
-          (database === 'own' && writer === session && endedAt < startedAt)),
+      ({endedAt, session: writer}) =>
+        endedAt < startedAt - MAX_READ_AGE_MS[database] ||
+        (database === 'own' && writer === session && endedAt < startedAt),
     );
-    const newest = needed
-      .map(item => item.commit)
-      .reduce<Commit | undefined>(
-        (a, b) => (a && a.number > b.number ? a : b),
-        undefined,
-      );
     return statements
       .filter(({access}) => access === 'read')
       .flatMap(({id}) => runs.get(id) ?? [])
-      .filter(run => !logContains(newest, run.sees))
-      .map(run =>
-        violation(
-          'stale-read',
-          `${run.id} on ${database} at ${run.member} lacks ${newest?.data}`,
-        ),
-      );
+      .flatMap(run => {
+        // The group that ran it, as the route may have moved.
+        const newest = needed
+          .map(item => item.commit)
+          .filter(commit => commit.group === run.group)
+          .reduce<Commit | undefined>(
+            (a, b) => (a && a.number > b.number ? a : b),
+            undefined,
+          );
+        if (logContains(newest, run.sees)) return [];
+        const detail = `${run.id} on ${database} at ${run.member} lacks ${newest?.data}`;
+        return [violation('stale-read', detail)];
+      });
   });
 }
 
--- a/soak/src/faults/fault_injector.ts
+++ b/soak/src/faults/fault_injector.ts
@@ -1,3 +1,4 @@
+import {MAX_STALENESS_MS} from '@pistachiorill/platform/standins';
 import type {
   FaultProxy,
   SimulatedPlatform,
@@ -11,6 +12,8 @@
 import {PlannedWorkInjector, isPlannedKind} from './planned_work_injector.js';
 
 const BEHIND_LAG_MS = 3_000;
+/** Replicas that lag less than a route allows still serve its reads. */
+const TOLERATED_LAG_MS = 0.8 * MAX_STALENESS_MS;
 const USUAL_LAG_MS = 20;
 /** How long a draining member still serves after its announcement. */
 const DRAIN_MS = 7_000;
@@ -167,6 +170,9 @@
       case 'configurations':
         void this.plannedWork.changeLimits(forMs);
         return () => undefined;
+      case 'routes-moved':
+        void this.plannedWork.moveRoutes(target, forMs);
+        return this.delayReplicas();
       default:
         throw new Error(`${kind} is planned work`);
     }
@@ -205,6 +211,16 @@
     return () => sleep(REWRITE_MS);
   }
 
+  /** Lets all members apply commits later, so that reads can miss some. */
+  private delayReplicas(): Undo {
+    const {standins} = this;
+    const {memberNames} = standins;
+    for (const name of memberNames) standins.setLag(name, TOLERATED_LAG_MS);
+    return () => {
+      for (const name of memberNames) standins.setLag(name, USUAL_LAG_MS);
+    };
+  }
+
   private takeDown(name: string, how: 'dark' | 'crashed'): Undo {
     this.standins.failMember(name, how);
     return () => this.standins.recoverMember(name);
--- a/soak/src/faults/fault_plan.ts
+++ b/soak/src/faults/fault_plan.ts
@@ -37,6 +37,8 @@
 ] as const;
 /** A kind of planned work. */
 export type PlannedKind = (typeof PLANNED_KINDS)[number];
+/** Changes of routes while replicas are behind. */
+const ROUTE_KINDS = ['routes-moved'] as const;
 const RESTORE_KINDS = ['store-restored'] as const;
 
 /** The kinds of faults that a soak run injects from outside the processes. */
@@ -44,6 +46,7 @@
   ...FIRST_KINDS,
   ...LATER_KINDS,
   ...PLANNED_KINDS,
+  ...ROUTE_KINDS,
   ...RESTORE_KINDS,
 ] as const;
 
@@ -80,16 +83,19 @@
 const LATER_KINDS_GAP_MS = 3_000;
 /** Shorter than a drain, so that planned work overlaps. */
 const PLANNED_KINDS_GAP_MS = 1_200;
+const ROUTE_KINDS_GAP_MS = 3_000;
 const RESTORE_KINDS_GAP_MS = 9_000;
 /** Separate the later streams of random numbers of a seed from the first. */
 const LATER_KINDS_SEED = 1_000_003;
 const PLANNED_KINDS_SEED = 2_000_003;
 const RESTORE_KINDS_SEED = 4_000_037;
+const ROUTE_KINDS_SEED = 5_000_011;
 
 /**
  * Which faults a run has: all kinds, which overlap, but for restores of the
  * store; those without the series of planned work; planned work only, around
- * which no request may be lost; or planned work and restores of the store.
+ * which no request may be lost; or planned work, changes of routes and restores of
+ * the store.
  */
 export const PLANS = ['all', 'faults', 'planned', 'restored'] as const;
 /** Which faults a run has. */
@@ -124,6 +130,12 @@
     PLANNED_KINDS_GAP_MS,
     lengthMs,
   );
+  const moves = draw(
+    new Random(seed + ROUTE_KINDS_SEED),
+    ROUTE_KINDS,
+    ROUTE_KINDS_GAP_MS,
+    lengthMs,
+  );
   const restores = draw(
     new Random(seed + RESTORE_KINDS_SEED),
     RESTORE_KINDS,
@@ -133,6 +145,7 @@
   return [
     ...(plan === 'all' || plan === 'faults' ? faults : []),
     ...(plan === 'faults' ? [] : plannedWork),
+    ...(plan === 'planned' ? [] : moves),
     ...(plan === 'restored' ? restores : []),
   ].sort((a, b) => a.atMs - b.atMs);
 }
--- a/soak/src/faults/planned_work_injector.ts
+++ b/soak/src/faults/planned_work_injector.ts
@@ -10,6 +10,8 @@
 import type {FaultRecord} from './fault_record.js';
 
 const CONFIGURATION_GAP_MS = 150;
+/** Routes move back while replicas still lack what sessions wrote before. */
+const MAX_MOVE_GAP_MS = 300;
 /** Shorter than a drain, so that the VMs of a rolling restart overlap. */
 const MAX_ROLLING_GAP_MS = 2_000;
 const RELOADS = 5;
@@ -81,6 +83,18 @@
     }
   }
 
+  /** Moves routes to other groups and back, again and again. */
+  async moveRoutes(target: number, forMs: number): Promise<void> {
+    const random = new Random(target);
+    const untilMs = this.clock() + forMs;
+    while (this.clock() < untilMs) {
+      const sentMs = this.clock();
+      this.operators.moveRoutes();
+      this.record.configured(sentMs);
+      await sleep(random.integer(0, MAX_MOVE_GAP_MS));
+    }
+  }
+
   /** Stops and starts a VM; `during` runs from the SIGTERM on. */
   private async restart(
     vm: VmProcess,
