Keep the program of a soak while it runs

It is the class of docs/incidents/failed-build-keeps-program.md: a process runs another build than the one that its run is taken to show. Change: the soak copies the gateway's program into its folder and starts that one.

--- a/packages/gateway/src/session/__tests__/session_history.test.ts
+++ b/packages/gateway/src/session/__tests__/session_history.test.ts
@@ -1,11 +1,10 @@
 import {afterEach, describe, expect, it} from 'vitest';
-import type {DatabaseRoute} from '@pistachiorill/core';
 import {FakeGroup} from '../../testing/fake_group.js';
 import {
   READ,
-  SESSION_CONFIGURATION,
   WRITE,
   startSession,
+  withRouteAt,
 } from '../../testing/fake_session.js';
 import {RouteMoves} from '../route_moves.js';
 
@@ -24,23 +23,12 @@
     const others = new Map([['mill', mill]]);
     const {fake, state, open, run, records} = startSession(undefined, others);
     groups = [mill, fake];
-    const route = SESSION_CONFIGURATION.routes.get('wash-db') as DatabaseRoute;
-    const useGroup = (group: string, version: number): void => {
-      const moved: DatabaseRoute = {
-        ...route,
-        group,
-        consistency: 'own-writes',
-        maxAgeMs: 60_000,
-      };
-      const routes = new Map([['wash-db', moved]]);
-      state.configuration = {...SESSION_CONFIGURATION, routes, version};
-    };
-    useGroup('wash', 1);
+    state.configuration = {...withRouteAt('wash'), version: 1};
     open();
     await run(READ, WRITE);
-    useGroup('mill', 2);
+    state.configuration = {...withRouteAt('mill'), version: 2};
     await run(READ);
-    useGroup('wash', 3);
+    state.configuration = {...withRouteAt('wash'), version: 3};
     await run(READ, WRITE);
     expect(records).toMatchSnapshot();
   });
--- a/packages/gateway/src/session/__tests__/session_positions.test.ts
+++ b/packages/gateway/src/session/__tests__/session_positions.test.ts
@@ -1,13 +1,12 @@
 import {afterEach, describe, expect, it} from 'vitest';
-import type {DatabaseRoute, RuntimeConfiguration} from '@pistachiorill/core';
 import {FakeGroup} from '../../testing/fake_group.js';
 import {
   BEGIN,
   COMMIT,
   READ,
-  SESSION_CONFIGURATION,
   WRITE,
   startSession,
+  withRouteAt,
 } from '../../testing/fake_session.js';
 import {SessionPositions} from '../session_positions.js';
 
@@ -18,18 +17,6 @@
   groups = [];
 });
 
-/** A configuration whose route reads its own writes at a group. */
-function withRouteAt(group: string): RuntimeConfiguration {
-  const route = SESSION_CONFIGURATION.routes.get('wash-db') as DatabaseRoute;
-  const moved = {
-    ...route,
-    group,
-    consistency: 'own-writes' as const,
-    maxAgeMs: 60_000,
-  };
-  return {...SESSION_CONFIGURATION, routes: new Map([['wash-db', moved]])};
-}
-
 /** Starts a session whose route can move to the group `mill`. */
 function start() {
   const mill = new FakeGroup();
--- a/packages/gateway/src/telemetry/gateway_metrics.ts
+++ b/packages/gateway/src/telemetry/gateway_metrics.ts
@@ -15,15 +15,6 @@
     registers: [this.registry],
   });
 
-  constructor() {
-    new Gauge({
-      name: 'pistachiorill_gateway_build_info',
-      help: 'Always 1; the label names the program that the process runs.',
-      labelNames: ['build'],
-      registers: [this.registry],
-    }).set({build: BUILD_ID}, 1);
-  }
-
   private readonly refusals = new Counter({
     name: 'pistachiorill_gateway_refusals_total',
     help: 'Statements and sessions that were refused, by reason.',
@@ -162,6 +153,15 @@
     registers: [this.registry],
   });
 
+  constructor() {
+    new Gauge({
+      name: 'pistachiorill_gateway_build_info',
+      help: 'Always 1; the label names the program that the process runs.',
+      labelNames: ['build'],
+      registers: [this.registry],
+    }).set({build: BUILD_ID}, 1);
+  }
+
   /** Records the version of the configuration that is now in force. */
   configurationApplied(version: number): void {
     this.configurationVersion.set(version);
--- a/packages/gateway/src/testing/fake_session.ts
+++ b/packages/gateway/src/testing/fake_session.ts
@@ -1,4 +1,8 @@
-import type {Filter, RuntimeConfiguration} from '@pistachiorill/core';
+import type {
+  DatabaseRoute,
+  Filter,
+  RuntimeConfiguration,
+} from '@pistachiorill/core';
 import {Pipeline} from '@pistachiorill/tasks';
 import type {CallerStatement, SessionRefusal} from '../ports/caller_link.js';
 import type {FirstAnswer} from '../session/member_transaction.js';
@@ -44,6 +48,18 @@
   transactionIdleMs: 3_000,
 };
 
+/** A configuration whose route reads its own writes at a group. */
+export function withRouteAt(group: string): RuntimeConfiguration {
+  const route = SESSION_CONFIGURATION.routes.get('wash-db') as DatabaseRoute;
+  const moved = {
+    ...route,
+    group,
+    consistency: 'own-writes' as const,
+    maxAgeMs: 60_000,
+  };
+  return {...SESSION_CONFIGURATION, routes: new Map([['wash-db', moved]])};
+}
+
 const MAX_STATE_BYTES = 1_000;
 
 /** The fields of a log record. */
--- a/soak/src/main.ts
+++ b/soak/src/main.ts
@@ -1,4 +1,6 @@
+import {copyFileSync, mkdirSync, rmSync} from 'node:fs';
 import {totalmem} from 'node:os';
+import {join} from 'node:path';
 import meow from 'meow';
 import {PLANS} from './faults/fault_plan.js';
 import {runSoak} from './run_soak.js';
@@ -25,7 +27,7 @@
     --callers  callers that leave their sessions after some operations
     --holders  callers that keep their sessions until the process is gone; some
                do not close when asked to, or open their sessions late
-    --folder   folder for logs (default build/soak)
+    --folder   folder for logs and a copy of the gateway (default build/soak)
 
   A run fails when its processes need more than half of the machine's memory.
 
@@ -34,6 +36,7 @@
 `;
 
 const BYTES_PER_MB = 1_048_576;
+const GATEWAY = 'target/pistachiorill.mjs';
 
 /** The processes and callers of a run. */
 const SIZES = {
@@ -73,6 +76,10 @@
   }
   const first = Number(match[1]);
   const last = Number(match[2] ?? match[1]);
+  // A build during the runs must not change the program of processes that restart.
+  const program = join(flags.folder, `gateway-${process.pid}.mjs`);
+  mkdirSync(flags.folder, {recursive: true});
+  copyFileSync(GATEWAY, program);
   let violatedSeeds = 0;
   for (let seed = first; seed <= last; seed++) {
     const report = await runSoak({
@@ -83,7 +90,7 @@
       callers: flags.callers ?? size.callers,
       holders: flags.holders ?? size.holders,
       maxMemoryMb: totalmem() / 2 / BYTES_PER_MB,
-      program: 'target/pistachiorill.mjs',
+      program,
       folder: flags.folder,
     });
     const {faults, violations, ...counts} = report;
@@ -93,6 +100,7 @@
     }
     if (violations.length > 0) violatedSeeds++;
   }
+  rmSync(program);
   console.log(`${last - first + 1} seeds, ${violatedSeeds} with violations`);
   return violatedSeeds > 0 ? 1 : 0;
 }
