--- a/review/lib-2/case.mjs
+++ b/review/lib-2/case.mjs
@@ -6,6 +6,7 @@
 const lines = [];
 /** Further violations are only counted. */
 const MAX_SHOWN = 20;
+const MAX_RUN_MS = 100_000;
 
 /** Whether the disruption is caused; `TROUBLE=0` leaves it out. */
 export const hasTrouble = process.env.TROUBLE !== '0';
@@ -27,6 +28,14 @@
  */
 export async function runCase(folder, play, end) {
   let code = 2;
+  const stop = reason => {
+    record(reason);
+    end().finally(() => process.exit(2));
+  };
+  setTimeout(() => stop('the time is over'), MAX_RUN_MS).unref();
+  for (const signal of ['SIGINT', 'SIGTERM']) {
+    process.once(signal, () => stop(signal));
+  }
   try {
     const violations = await play();
     for (const text of violations.slice(0, MAX_SHOWN)) {
