--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -159,7 +159,7 @@
   const troubleAt = performance.now();
   if (hasTrouble) {
     loseAnswers();
-    record(`${former.id} goes dark`);
+    record(`${former.id} goes dark; ${store.writeCalls} writing calls so far`);
     const announced = new Promise(resolve => {
       onAnnouncement = resolve;
     });
--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -12,6 +12,8 @@
     this.record = record;
     this.rows = new Map();
     this.ver = 0;
+    /** Writing calls, of VMs and members, done or not. */
+    this.writeCalls = 0;
     this.waiters = new Set();
     /**
      * Decides how a transaction that holds a condition or comes from a VM is
@@ -59,6 +61,7 @@
 
   /** Writes a JSON value. */
   put(table, key, value) {
+    this.writeCalls++;
     const text = Buffer.from(JSON.stringify(value)).toString('base64');
     return this.write([{table, key, value: text}]);
   }
@@ -115,12 +118,16 @@
   }
 
   async transact(res, tx) {
+    this.writeCalls++;
     const fault = this.fault(tx);
     await sleep(TX_MS);
     if (fault) {
       await sleep(fault.lateMs);
       const outcome = this.apply(tx);
-      this.record(`store: did ${fault.name} late, unanswered: ${outcome}`);
+      this.record(
+        `store: did ${fault.name} late, unanswered: ${outcome}; ` +
+          `${this.writeCalls} writing calls so far`,
+      );
       res.destroy();
       return;
     }
