Repeat an unanswered return to the former primary before anything else

Afterwards the group served no write.

Cause: `revert` took an unknown outcome for a failure, and the change went on to order a promotion. The store did the unanswered write later: the record was still the announcement and the lease's row unchanged. Ruled out: an order before the return, and a record of another coordinator (one `duty.taken`).

Change: SettledRecordWriter repeats the write under the same conditions until the outcome of all attempts is known; one that succeeds makes the others fail. If none is answered, the change ends without an order.

--- a/packages/gateway/src/leadership/primary_change.ts
+++ b/packages/gateway/src/leadership/primary_change.ts
@@ -27,6 +27,7 @@
 } from './primary_change_dependencies.js';
 import {PrimaryStopper} from './primary_stopper.js';
 import type {ChangeAnnouncement} from './primary_stopper.js';
+import {SettledRecordWriter} from './settled_record_writer.js';
 import {collectReports, statusOf} from './successor_reports.js';
 
 const STATUS_INTERVAL_MS = 60;
@@ -51,6 +52,7 @@
   private readonly startedAt: number;
   private readonly lease: CoordinatorLeaseHolder;
   private readonly primaryStopper: PrimaryStopper;
+  private readonly recordWriter: SettledRecordWriter;
   /** Whether a promotion that this change ordered may still take effect. */
   private orders: 'none' | 'may-take-effect' = 'none';
   /** The last choice that was logged, as text. */
@@ -69,6 +71,12 @@
       renewLeaseIfNeeded: () => this.renewLeaseIfNeeded(),
       onStep: (step, details) => this.log(step, details),
     });
+    this.recordWriter = new SettledRecordWriter({
+      ...deps,
+      group: request.group,
+      isWithinTimeLimit: () => this.isWithinTimeLimit(),
+      onStep: (step, details) => this.log(step, details),
+    });
   }
 
   /** Runs the change. */
@@ -137,37 +145,51 @@
   }
 
   /**
-   * Records the former primary again instead of a successor. Another VM as
-   * coordinator may have ordered a promotion that takes effect later, so the
-   * coordinator lease must not have changed hands since the announcement. An
-   * order of this change excludes the return as well: its member may lead
-   * although it does not answer this VM.
+   * Records the former primary again instead of a successor. Returns undefined if
+   * it is certain that this does not take effect, so that a promotion may be
+   * ordered.
    */
   private async revert(
     announced: ChangeAnnouncement,
   ): Promise<PrimaryChangeOutcome | undefined> {
-    const {group, from} = this.request;
-    const {duty: lease} = this.deps.view().rows;
+    const primary = this.request.from;
+    const term = announced.fromTerm;
+    const record = {phase: 'settled' as const, primary, term};
+    const outcome = await this.recordWriter.write(record, announced, () =>
+      this.revertConditions(announced),
+    );
+    if (outcome === 'not-written') return undefined;
+    this.log('reverted', {primary, outcome});
+    switch (outcome) {
+      case 'written':
+        return 'reverted';
+      case 'superseded':
+        return 'lost';
+      case 'unknown':
+        return this.lease.isTakenOver() ? 'lost' : 'given-up';
+    }
+  }
+
+  /**
+   * Returns the rows that must not change before the former primary is recorded
+   * again; undefined if it must not be. Another VM as coordinator may have ordered
+   * a promotion that takes effect later, so the coordinator lease must not have
+   * changed hands since the announcement. An order of this change excludes the
+   * return as well: its member may lead although it does not answer this VM.
+   */
+  private revertConditions(
+    announced: ChangeAnnouncement,
+  ): ReadonlyMap<string, number> | undefined {
+    const lease = this.deps.view().rows.duty;
     const isOwn =
       this.orders === 'none' &&
       announced.origin === 'own-move' &&
       lease?.value.holder === this.deps.vm &&
       lease.value.fence === this.fence &&
       isOfEra(lease.value, this.era());
-    if (!isOwn) return undefined;
-    const term = announced.fromTerm;
-    const record = {phase: 'settled' as const, primary: from, term};
-    const result = await this.deps.transact({
-      expected: new Map([
-        [leadershipKey(group), announced.version],
-        [COORDINATOR_LEASE_KEY, lease.version],
-      ]),
-      puts: new Map([
-        [leadershipKey(group), encodeLeadership(record, this.era())],
-      ]),
-    });
-    this.log('reverted', {result: result.ok ? 'done' : result.err});
-    return result.ok ? 'reverted' : undefined;
+    return isOwn
+      ? new Map([[COORDINATOR_LEASE_KEY, lease.version]])
+      : undefined;
   }
 
   /**
@@ -182,7 +204,7 @@
     // In another era of the store the lease of this change does not count.
     const era = eraOf(announced.version);
     while (this.isWithinTimeLimit() && this.era() === era) {
-      if (this.isSuperseded(announced)) return 'lost';
+      if (this.recordWriter.isSuperseded(announced)) return 'lost';
       const waitedMs = this.deps.clock() - choosingSince;
       const {choice, minTerm, former} = await this.choose(
         announced,
@@ -319,7 +341,7 @@
     const {group, from} = this.request;
     const record = {phase: 'settled' as const, primary, term};
     while (this.isWithinTimeLimit()) {
-      if (this.isSuperseded(announced)) return 'lost';
+      if (this.recordWriter.isSuperseded(announced)) return 'lost';
       const result = await this.deps.transact({
         expected: new Map([[leadershipKey(group), announced.version]]),
         puts: new Map([
@@ -337,24 +359,6 @@
     return 'given-up';
   }
 
-  /**
-   * Whether the record was written again since the announcement of this change,
-   * so that another VM carries on with it or has ended it.
-   */
-  private isSuperseded(announced: ChangeAnnouncement): boolean {
-    const {rows, version} = this.deps.view();
-    if (version < announced.version) return false;
-    const current = rows.leadership.get(this.request.group);
-    if (current?.version === announced.version) return false;
-    this.log('superseded', {
-      announced: announced.version,
-      version: current?.version,
-      record: current?.record,
-      coordinator: rows.duty?.value.holder,
-    });
-    return true;
-  }
-
   /** The era of the store's rows. */
   private era(): number {
     return eraOf(this.deps.view().version);
--- a/packages/gateway/src/testing/fake_store.ts
+++ b/packages/gateway/src/testing/fake_store.ts
@@ -18,6 +18,16 @@
 export type StoreFaultMode =
   'answers' | 'down' | 'reads-only' | 'history-lost' | 'loses-answers';
 
+/**
+ * What a fake store does with a transaction that it does not answer: it applies
+ * the transaction at once, some time later if its conditions still hold, or not
+ * at all.
+ */
+export type UnansweredEffect = 'at-once' | 'later' | 'never';
+
+/** How long after its arrival an unanswered transaction is applied. */
+const LATE_MS = 300;
+
 /** An in-memory store whose clock is 1,000 s ahead of the caller's. */
 export class FakeStore extends TransactionalStore {
   readonly rows = new Map<string, TableRow>();
@@ -31,6 +41,12 @@
   maxHoldMs = 50;
   /** Answers of the next calls of `readAll`, which may be older than the rows. */
   readonly staleReads: TableReadResult[] = [];
+  /**
+   * Returns the effect of a transaction that is not to be answered; undefined
+   * for one that is.
+   */
+  unanswered: (transaction: RowTransaction) => UnansweredEffect | undefined =
+    () => undefined;
   private historyState: 'kept' | 'lost' = 'kept';
   private readonly history: Array<{key: string; version: number}> = [];
   private pendingPolls: Array<() => void> = [];
@@ -114,17 +130,32 @@
     return ok(this.answer(rows, removed));
   }
 
-  override async transact({
-    expected,
-    puts,
-    removals = [],
-  }: RowTransaction): Promise<Result<TransactionResult, StoreWriteError>> {
+  override async transact(
+    transaction: RowTransaction,
+  ): Promise<Result<TransactionResult, StoreWriteError>> {
     if (this.mode === 'down' || this.mode === 'reads-only') {
       return fail({kind: 'unavailable', detail: ''});
     }
+    const effect = this.unanswered(transaction);
+    if (effect === 'later') setTimeout(() => this.apply(transaction), LATE_MS);
+    const isApplied = !effect || effect === 'at-once';
+    const outcome = isApplied ? this.apply(transaction) : undefined;
+    if (effect || (outcome === 'applied' && this.mode === 'loses-answers')) {
+      return fail({kind: 'unknown-outcome', detail: 'lost'});
+    }
+    if (outcome === 'conflict') return fail({kind: 'conflict'});
+    return ok({version: this.version, ...this.timing()});
+  }
+
+  /** Applies a transaction if its conditions hold. */
+  private apply({
+    expected,
+    puts,
+    removals = [],
+  }: RowTransaction): 'applied' | 'conflict' {
     for (const [key, version] of expected) {
       const current = this.rows.get(key)?.version ?? 0;
-      if (current !== version) return fail({kind: 'conflict'});
+      if (current !== version) return 'conflict';
     }
     for (const key of removals) {
       this.rows.delete(key);
@@ -132,10 +163,7 @@
     }
     for (const [key, value] of puts) this.put(key, JSON.parse(value));
     for (const wake of this.pendingPolls.splice(0)) wake();
-    if (this.mode === 'loses-answers') {
-      return fail({kind: 'unknown-outcome', detail: 'lost'});
-    }
-    return ok({version: this.version, ...this.timing()});
+    return 'applied';
   }
 
   private answer(
