Recognise a coordinator's own record of the promoted member

Seen by a test only: a failover whose record took effect without an answer ended as `lost`, and the former primary was not asked to step down. Callers were served by the new primary.

Cause: `settle` took any record that was not its announcement for that of another VM, also its own.

Change: SettledRecordWriter writes this record too; a row with the same primary and term counts as written.

--- a/packages/gateway/src/leadership/primary_change.ts
+++ b/packages/gateway/src/leadership/primary_change.ts
@@ -338,25 +338,18 @@
     primary: string,
     term: number,
   ): Promise<PrimaryChangeOutcome> {
-    const {group, from} = this.request;
     const record = {phase: 'settled' as const, primary, term};
-    while (this.isWithinTimeLimit()) {
-      if (this.recordWriter.isSuperseded(announced)) return 'lost';
-      const result = await this.deps.transact({
-        expected: new Map([[leadershipKey(group), announced.version]]),
-        puts: new Map([
-          [leadershipKey(group), encodeLeadership(record, this.era())],
-        ]),
-      });
-      if (result.ok) {
-        this.log('settled', {primary, term, version: result.value.version});
-        this.deps.database.tell({kind: 'step-down', member: from, term});
-        return 'settled';
-      }
-      this.log('settle-failed', {primary, term, err: result.err});
-      await sleep(STORE_RETRY_MS);
-    }
-    return 'given-up';
+    const outcome = await this.recordWriter.write(
+      record,
+      announced,
+      () => new Map(),
+    );
+    if (outcome === 'superseded') return 'lost';
+    if (outcome !== 'written') return 'given-up';
+    this.log('settled', {primary, term});
+    const {from} = this.request;
+    this.deps.database.tell({kind: 'step-down', member: from, term});
+    return 'settled';
   }
 
   /** The era of the store's rows. */
