--- a/soak/src/faults/fault_injector.ts
+++ b/soak/src/faults/fault_injector.ts
@@ -40,6 +40,7 @@
   'store-silent',
   'store-slow',
   'store-loses-answers',
+  'store-writes-late',
   'store-cut-from-vm',
   'connections-reset',
   'store-connections-silent',
@@ -127,6 +128,8 @@
         return this.setStoreFaultMode('slow');
       case 'store-loses-answers':
         return this.setStoreFaultMode('loses-answers');
+      case 'store-writes-late':
+        return this.setStoreFaultMode('writes-late');
       case 'store-cut-from-vm':
         return setProxyMode(vm.paths.storeProxy, 'silent');
       case 'store-connections-silent':
--- a/soak/src/faults/fault_plan.ts
+++ b/soak/src/faults/fault_plan.ts
@@ -39,6 +39,8 @@
 export type PlannedKind = (typeof PLANNED_KINDS)[number];
 /** Changes of routes while replicas are behind. */
 const ROUTE_KINDS = ['routes-moved'] as const;
+/** Writes whose outcome the VMs learn late. */
+const WRITE_KINDS = ['store-writes-late'] as const;
 const RESTORE_KINDS = ['store-restored'] as const;
 
 /** The kinds of faults that a soak run injects from outside the processes. */
@@ -47,6 +49,7 @@
   ...LATER_KINDS,
   ...PLANNED_KINDS,
   ...ROUTE_KINDS,
+  ...WRITE_KINDS,
   ...RESTORE_KINDS,
 ] as const;
 
@@ -84,12 +87,14 @@
 /** Shorter than a drain, so that planned work overlaps. */
 const PLANNED_KINDS_GAP_MS = 1_200;
 const ROUTE_KINDS_GAP_MS = 3_000;
+const WRITE_KINDS_GAP_MS = 3_000;
 const RESTORE_KINDS_GAP_MS = 9_000;
 /** Separate the later streams of random numbers of a seed from the first. */
 const LATER_KINDS_SEED = 1_000_003;
 const PLANNED_KINDS_SEED = 2_000_003;
 const RESTORE_KINDS_SEED = 4_000_037;
 const ROUTE_KINDS_SEED = 5_000_011;
+const WRITE_KINDS_SEED = 6_000_011;
 
 /**
  * Which faults a run has: all kinds, which overlap, but for restores of the
@@ -136,6 +141,12 @@
     ROUTE_KINDS_GAP_MS,
     lengthMs,
   );
+  const lateWrites = draw(
+    new Random(seed + WRITE_KINDS_SEED),
+    WRITE_KINDS,
+    WRITE_KINDS_GAP_MS,
+    lengthMs,
+  );
   const restores = draw(
     new Random(seed + RESTORE_KINDS_SEED),
     RESTORE_KINDS,
@@ -146,6 +157,7 @@
     ...(plan === 'all' || plan === 'faults' ? faults : []),
     ...(plan === 'faults' ? [] : plannedWork),
     ...(plan === 'planned' ? [] : moves),
+    ...(plan === 'all' ? lateWrites : []),
     ...(plan === 'restored' ? restores : []),
   ].sort((a, b) => a.atMs - b.atMs);
 }
