--- a/packages/core/src/statement/__tests__/parse_options_filter.test.ts
+++ b/packages/core/src/statement/__tests__/parse_options_filter.test.ts
@@ -45,6 +45,31 @@
   ],
   ['accepts SET NAMES without effect', 'autocommit', 'SET NAMES utf8mb4'],
   ['refuses a named lock', 'autocommit', "SELECT GET_LOCK('a', 1)"],
+  [
+    'refuses a named lock with a comment before its bracket',
+    'autocommit',
+    "SELECT get_lock /* c */ ('a', 1)",
+  ],
+  [
+    'accepts a longer name that starts like a named lock',
+    'autocommit',
+    'SELECT GET_LOCK\u00e9(1)',
+  ],
+  [
+    'takes two dashes before no white space for operators',
+    'autocommit',
+    'SELECT 1--1; DELETE FROM t',
+  ],
+  [
+    'takes two dashes at the end for a comment',
+    'autocommit',
+    'SELECT 6 / 2;--',
+  ],
+  [
+    'refuses a statement behind one that ends in a comment',
+    'autocommit',
+    'SELECT 1; -- c\nDELETE FROM t',
+  ],
   ['refuses a table lock', 'autocommit', 'LOCK TABLES t WRITE'],
   [
     'refuses a temporary table',
