Keep at most two options comments of a statement

A second comment with options already refuses a statement, but each one was kept, so that the memory of a summary grew with their number. Found in reading the change; no caller saw it.

--- a/packages/core/src/statement/sql_scanner.ts
+++ b/packages/core/src/statement/sql_scanner.ts
@@ -47,7 +47,7 @@
     ['/*', 'comment'],
   ];
 
-/** What a character is at the start of a token. */
+/** What a character is at the start of a token, as a number of a typed array. */
 const PATTERN = 0;
 const WORD_CHARACTER = 1;
 const SYMBOL = 2;
--- a/packages/core/src/statement/statement_summary.ts
+++ b/packages/core/src/statement/statement_summary.ts
@@ -7,6 +7,8 @@
 /** No statement that is recognised as a whole has more tokens. */
 const MAX_HEAD_TOKENS = 4;
 
+/** More than one comment with options is an error, however many there are. */
+const MAX_OPTIONS_COMMENTS = 2;
 const SEMICOLON = ';'.charCodeAt(0);
 const OPENING_BRACKET = '('.charCodeAt(0);
 
@@ -23,7 +25,7 @@
   readonly head: readonly string[];
   /** Whether `head` holds all tokens, up to semicolons at the end. */
   readonly extent: 'within-head' | 'beyond-head';
-  /** The bodies of the comments that hold options. */
+  /** The bodies of the first comments that hold options, two at most. */
   readonly optionsComments: readonly string[];
   /** The tracked keywords and called functions, in order of occurrence. */
   readonly keywords: ReadonlySet<string>;
@@ -106,6 +108,7 @@
   }
 
   private addComment(start: number, end: number): void {
+    if (this.optionsComments.length >= MAX_OPTIONS_COMMENTS) return;
     if (!this.sql.startsWith('/*', start)) return;
     const body = this.sql.slice(start + 2, end - 2);
     if (isOptionsComment(body)) this.optionsComments.push(body);
