--- a/review/11/run.mjs
+++ b/review/11/run.mjs
@@ -94,7 +94,8 @@
         const id = (++number).toString(16).padStart(16, '0');
         const name = trouble ? `q${id}` : `q${i}`;
         const shape = name.padEnd(SHAPE_BYTES, 'x');
-        if (!(await ask(client, `${id}p`, `PREPARE s${i} READ ${shape}`))) break;
+        if (!(await ask(client, `${id}p`, `PREPARE s${i} READ ${shape}`)))
+          break;
         await ask(client, `${id}e`, `EXECUTE s${i} 1a4`);
         await ask(client, `${id}d`, `DEALLOCATE s${i}`);
       }
--- a/review/lib-3/group.mjs
+++ b/review/lib-3/group.mjs
@@ -84,7 +84,10 @@
     this.term = leader.term;
     this.role = 'replica';
     const end = this.log.length;
-    setTimeout(() => this.apply(Math.min(end, this.log.length)), this.group.lagMs);
+    setTimeout(
+      () => this.apply(Math.min(end, this.log.length)),
+      this.group.lagMs,
+    );
   }
 
   apply(end) {
@@ -152,7 +155,10 @@
 
 /** A service of one primary and its replicas. */
 export class Group {
-  constructor(name, {clock, slots = 2, maxConns = 26, lagMs = 20, promoteMs = 300, netMs = 1}) {
+  constructor(
+    name,
+    {clock, slots = 2, maxConns = 26, lagMs = 20, promoteMs = 300, netMs = 1},
+  ) {
     this.name = name;
     this.clock = clock;
     this.slots = slots;
@@ -191,7 +197,8 @@
     const {leader} = this;
     if (!leader || leader.power === 'off') return;
     for (const member of this.members) {
-      if (member === leader || !member.hears || member.power === 'off') continue;
+      if (member === leader || !member.hears || member.power === 'off')
+        continue;
       if (member.role === 'primary') continue;
       setTimeout(() => {
         if (this.leader !== leader || member.role === 'primary') return;
@@ -219,11 +226,16 @@
     member.role = 'primary';
     member.term = this.term;
     member.apply(member.log.length);
-    this.promotions.push({member: member.id, term: this.term, at: this.clock()});
+    this.promotions.push({
+      member: member.id,
+      term: this.term,
+      at: this.clock(),
+    });
     this.replicate();
     // The old one goes on until a second after it can reach the new one.
     setTimeout(() => {
-      if (this.leader === member && former.power === 'on') former.follow(member);
+      if (this.leader === member && former.power === 'on')
+        former.follow(member);
     }, 1_000);
   }
 }
@@ -424,7 +436,11 @@
     } else {
       const writes = kind === 'COMMIT' ? tx.writes : [write];
       if (writes.length > 0) {
-        run.entry = member.commit(writes, {id, txn: tx?.txn, at: group.clock()});
+        run.entry = member.commit(writes, {
+          id,
+          txn: tx?.txn,
+          at: group.clock(),
+        });
       }
     }
     this.ready([`COMPLETE ${signature}`]);
--- a/review/lib-3/platform.mjs
+++ b/review/lib-3/platform.mjs
@@ -25,7 +25,12 @@
     this.orders = [];
     this.folder = mkdtempSync(join(tmpdir(), 'review-'));
     this.version = 7;
-    this.config = {routes: [], services: [], tenants: [], limits: {txIdleMs: 3_000}};
+    this.config = {
+      routes: [],
+      services: [],
+      tenants: [],
+      limits: {txIdleMs: 3_000},
+    };
   }
 
   async start() {
--- a/review/lib-3/store.mjs
+++ b/review/lib-3/store.mjs
@@ -113,7 +113,8 @@
     const url = new URL(req.url, 'http://store');
     const query = Object.fromEntries(url.searchParams);
     if (url.pathname === '/api/rows-get') this.read(res, query);
-    else if (url.pathname === '/api/rows-feed') await this.feed(req, res, query);
+    else if (url.pathname === '/api/rows-feed')
+      await this.feed(req, res, query);
     else if (url.pathname === '/api/rows-tx') {
       this.transact(req, res, JSON.parse(Buffer.concat(chunks).toString()));
     } else this.send(res, 404, {});
