--- a/review/lib-3/group.mjs
+++ b/review/lib-3/group.mjs
@@ -7,7 +7,7 @@
 
 function positionOf(log, end) {
   const last = log[end - 1];
-  return last ? `${last.term}.${last.number}` : '1.0';
+  return last ? `${last.term}.${last.number}` : '0.0';
 }
 
 /** One member of a service: its log, role and connections. */
@@ -67,6 +67,26 @@
     this.group.replicate();
   }
 
+  /**
+   * Starts again under its id, `downMs` after its process ended. It holds and
+   * knows nothing of before, so it leads nobody.
+   */
+  async startAgain(downMs) {
+    const {group} = this;
+    this.crash();
+    if (group.leader === this) group.leader = undefined;
+    await sleep(downMs);
+    this.role = 'replica';
+    this.term = 0;
+    this.log = [];
+    this.applied = 0;
+    this.data.clear();
+    this.seq = 0;
+    this.born = Date.now();
+    this.power = 'on';
+    group.replicate();
+  }
+
   /** Takes the entries of the primary's log; drops those that it lacks. */
   follow(leader) {
     const {log} = leader;
@@ -234,7 +254,7 @@
     this.replicate();
     // The old one goes on until a second after it can reach the new one.
     setTimeout(() => {
-      if (this.leader === member && former.power === 'on')
+      if (this.leader === member && former?.power === 'on')
         former.follow(member);
     }, 1_000);
   }
@@ -298,6 +318,17 @@
     const text = [...lines, `READY ${state} ${position}`]
       .map(item => `${item}\r\n`)
       .join('');
+    const fate = member.onAnswer?.(this, lines);
+    if (fate === 'lost') return;
+    if (fate === 'reset') {
+      socket.resetAndDestroy();
+      return;
+    }
+    if (fate === 'cut') {
+      socket.write(text.slice(0, Math.floor(text.length / 2)), 'latin1');
+      setTimeout(() => socket.resetAndDestroy(), 5);
+      return;
+    }
     socket.write(text, 'latin1');
   }
 
@@ -305,6 +336,7 @@
     const {member} = this;
     let [id, text] = splitWord(rest);
     let after;
+    let shape;
     if (text.startsWith('AFTER ')) {
       [after, text] = splitWord(splitWord(text)[1]);
     }
@@ -313,7 +345,8 @@
       const [name, parameters] = splitWord(args);
       const found = this.prepared.get(name);
       if (!found) return this.ready([`ERROR NOSTMT ${name}`]);
-      text = `${found} ${parameters}`;
+      text = `${found.access} ${parameters}`;
+      shape = found.shape;
     }
     const [kind, tail] = splitWord(text);
     if (after && !member.holds(after)) {
@@ -333,7 +366,8 @@
       }
       case 'PREPARE': {
         const [name, what] = splitWord(tail);
-        this.prepared.set(name, splitWord(what)[0]);
+        const [access, text] = splitWord(what);
+        this.prepared.set(name, {access, shape: text});
         return this.ready(['COMPLETE -']);
       }
       case 'DEALLOCATE':
@@ -354,7 +388,7 @@
       case 'READ':
       case 'WRITE':
       case 'COMMIT':
-        return this.work(id, kind, tail);
+        return this.work(id, kind, tail, shape);
       default:
         return this.ready(['ERROR MALFORMED']);
     }
@@ -380,20 +414,20 @@
     this.ready(['COMPLETE -']);
   }
 
-  async work(id, kind, tail) {
+  async work(id, kind, tail, shape) {
     const {member} = this;
     const {group} = member;
     if (!(await member.slot())) return this.ready([`ERROR BUSY ${member.id}`]);
     try {
       await sleep(member.workMs);
       if (this.socket.destroyed || member.power === 'off') return;
-      this.run(id, kind, tail, group);
+      this.run(id, kind, tail, group, shape);
     } finally {
       member.release();
     }
   }
 
-  run(id, kind, tail, group) {
+  run(id, kind, tail, group, shape) {
     const {member, tx} = this;
     const isLost =
       tx?.access === 'write' &&
@@ -419,6 +453,8 @@
       conn: this.number,
       tenant: this.tenant,
       txn: tx?.txn,
+      shape,
+      values: [...this.values].map(pair => pair.join('=')).sort().join(' '),
       at: group.clock(),
       applied: member.applied,
       log: member.log,
