--- a/review/lib-3/group.mjs
+++ b/review/lib-3/group.mjs
@@ -133,7 +133,15 @@
   /** Commits writes as the next number; the entry or undefined. */
   commit(writes, origin) {
     const number = (this.log.at(-1)?.number ?? 0) + 1;
-    const entry = {term: this.term, number, writes, member: this.id, ...origin};
+    const previous = this.log.at(-1);
+    const entry = {
+      term: this.term,
+      number,
+      writes,
+      member: this.id,
+      previous,
+      ...origin,
+    };
     this.log.push(entry);
     this.apply(this.log.length);
     this.group.commits.push(entry);
@@ -457,6 +465,7 @@
       values: [...this.values].map(pair => pair.join('=')).sort().join(' '),
       at: group.clock(),
       applied: member.applied,
+      last: member.log[member.applied - 1],
       log: member.log,
     };
     group.runs.push(run);
--- a/review/lib-3/vm.mjs
+++ b/review/lib-3/vm.mjs
@@ -5,18 +5,29 @@
 
 export const HOST = '127.0.0.1';
 
-/** Reserves a free loopback port. */
-export function freePort() {
-  return new Promise((resolve, reject) => {
+/** The ports that the system gives to outgoing connections are above these. */
+const FIRST_PORT = 20_000;
+const PORTS = 10_000;
+const reserved = new Set();
+
+function isFree(port) {
+  return new Promise(resolve => {
     const server = createServer();
-    server.once('error', reject);
-    server.listen(0, HOST, () => {
-      const {port} = server.address();
-      server.close(() => resolve(port));
-    });
+    server.once('error', () => resolve(false));
+    server.listen(port, HOST, () => server.close(() => resolve(true)));
   });
 }
 
+/** Finds a free loopback port. */
+export async function freePort() {
+  for (;;) {
+    const port = FIRST_PORT + Math.floor(Math.random() * PORTS);
+    if (reserved.has(port) || !(await isFree(port))) continue;
+    reserved.add(port);
+    return port;
+  }
+}
+
 /** Listens on a free loopback port and returns `host:port`. */
 export function listen(server) {
   return new Promise((resolve, reject) => {
