--- a/review/lib-3/group.mjs
+++ b/review/lib-3/group.mjs
@@ -198,6 +198,9 @@
     this.commits = [];
     /** What members ran, in order. */
     this.runs = [];
+    this.ran = 0;
+    /** Whether the runs are kept. */
+    this.keepsRuns = true;
     this.promotions = [];
     this.term = 1;
     this.txn = 0;
@@ -462,14 +465,17 @@
       tenant: this.tenant,
       txn: tx?.txn,
       shape,
-      values: [...this.values].map(pair => pair.join('=')).sort().join(' '),
+      values: [...this.values]
+        .map(pair => pair.join('='))
+        .sort()
+        .join(' '),
       at: group.clock(),
       applied: member.applied,
       last: member.log[member.applied - 1],
       log: member.log,
     };
-    group.runs.push(run);
-    const signature = `${member.id}.${group.runs.length}`;
+    if (group.keepsRuns) group.runs.push(run);
+    const signature = `${member.id}.${++group.ran}`;
     run.signature = signature;
     if (kind === 'READ') {
       const value = member.data.get(item) ?? 'none';
