--- a/review/11/run.mjs
+++ b/review/11/run.mjs
@@ -1,6 +1,8 @@
 /**
- * A database rests for some seconds, and meanwhile its primary starts again under
- * its id. With TROUBLE=0 it does not.
+ * The platform's store is down for some seconds, in which a replica receives
+ * nothing and a machine is stopped and started again. The members' entries expire
+ * and are back 1.2 s after the store. With TROUBLE=0 only the machine is stopped
+ * and started again.
  */
 import {dirname} from 'node:path';
 import {fileURLToPath} from 'node:url';
@@ -8,11 +10,17 @@
 import {Platform} from '../lib-3/platform.mjs';
 import {runCase, sleep} from '../lib-3/record.mjs';
 
-const ITEMS = 60;
-const REST_MS = 5_000;
-const DOWN_MS = 1_000;
-const READS_MS = 25_000;
 const KEY = 'key-1';
+const SESSIONS = 4;
+/** The store is down for this long. */
+const STORE_DOWN_MS = 4_500;
+/** When a machine is stopped, after the store went down. */
+const STOP_AT_MS = 1_000;
+/** When a replica begins to receive nothing, and for how long. */
+const DEAF_AT_MS = 2_800;
+const DEAF_MS = 6_500;
+/** Most entries are back this long after the store; about 2 s are allowed. */
+const BACK_MS = 1_200;
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async context => {
   const {record, trouble, use} = context;
@@ -22,7 +30,7 @@
     }),
   );
   await platform.start();
-  const group = await platform.addGroup('labeldb', {});
+  const group = await platform.addGroup('labeldb', {syncReplicas: 1});
   platform.config.routes.push({
     name: 'booking',
     host: 'booking-db',
@@ -50,95 +58,97 @@
       return 2;
     }
   }
-  let number = 0;
-  const nextId = () => (++number).toString(16).padStart(16, '0');
 
-  // Writes, each of which must be acknowledged.
-  const acknowledged = new Map();
-  for (let i = 0; acknowledged.size < ITEMS && i < 10 * ITEMS; i++) {
-    const vm = vms[i % vms.length];
-    const client = await Client.open(vm.address, 'booking-db', KEY);
-    if (!client) continue;
-    const item = `i${acknowledged.size}`;
-    const id = nextId();
-    const answer = await client.query(id, `WRITE ${item} d${id}`);
-    client.close();
-    if (answer.kind !== 'done') {
-      await sleep(50);
-      continue;
+  // Sessions that write all the time.
+  let phase = 'writing';
+  let number = 0;
+  const writes = [];
+  const write = async index => {
+    for (let i = index; phase === 'writing'; i++) {
+      const vm = vms[i % vms.length];
+      const client = await Client.open(vm.address, 'booking-db', KEY);
+      if (!client) {
+        await sleep(50);
+        continue;
+      }
+      for (let j = 0; j < 20 && !client.closed && phase === 'writing'; j++) {
+        const id = (++number).toString(16).padStart(16, '0');
+        const answer = await client.query(id, `WRITE i${number} d${id}`);
+        const at = platform.clock();
+        writes.push({id, answer, at, vm: vm.name});
+        await sleep(30);
+      }
+      client.close();
     }
-    const run = group.runs.find(entry => entry.id === id);
-    acknowledged.set(item, {data: `d${id}`, entry: run.entry, at: Date.now()});
-    record.note(`${id} WRITE ${item} through ${vm.name}: acknowledged`);
-    await sleep(40);
-  }
-  if (acknowledged.size < ITEMS) {
-    record.note('the writes were not acknowledged');
-    return 2;
-  }
+  };
+  const sessions = Array.from({length: SESSIONS}, (_, index) => write(index));
+  await sleep(3_000);
 
-  // Rest.
   const primary = group.leader;
-  await sleep(1_000);
-  if (trouble) {
-    record.note(`${primary.id}, the primary, ends`);
-    await primary.startAgain(DOWN_MS);
-    record.note(`${primary.id} has started again, born ${primary.born}`);
-  }
-  await sleep(REST_MS - DOWN_MS);
+  const [holder, deaf] = group.members.filter(item => item !== primary);
+  const startedAt = Date.now();
+  const until = ms => sleep(Math.max(0, startedAt + ms - Date.now()));
+  const storeDown = async () => {
+    platform.setStore('down');
+    record.note('the store is down');
+    await until(STORE_DOWN_MS);
+    platform.setStore('up', {[primary.id]: BACK_MS, [holder.id]: BACK_MS});
+    record.note(`the store is back; the entry of ${deaf.id} at once`);
+    await until(STORE_DOWN_MS + BACK_MS);
+    record.note(`the entries of ${primary.id} and ${holder.id} are back`);
+  };
+  const receiveNothing = async () => {
+    await until(DEAF_AT_MS);
+    deaf.hears = false;
+    record.note(`${deaf.id} receives nothing`);
+    await until(DEAF_AT_MS + DEAF_MS);
+    deaf.hears = true;
+    group.replicate();
+    record.note(`${deaf.id} receives again`);
+  };
+  const restart = async () => {
+    await until(STOP_AT_MS);
+    await vms[0].end('SIGTERM');
+    vms[0].start();
+    record.note(`${vms[0].name} was stopped and starts again`);
+  };
+  await Promise.all([
+    restart(),
+    until(16_000),
+    ...(trouble ? [storeDown(), receiveNothing()] : []),
+  ]);
+  phase = 'ended';
+  await Promise.all(sessions);
 
-  // Reads of what was acknowledged, and a few writes.
-  const until = Date.now() + READS_MS;
-  const counts = {reads: 0, stale: 0, refused: 0, none: 0};
-  const writes = {done: 0, refused: 0, other: 0};
-  let noted = 0;
-  const items = [...acknowledged.keys()];
-  const entries = [...acknowledged.values()].map(({entry}) => entry);
-  for (let i = 0; Date.now() < until; i++) {
-    const vm = vms[i % vms.length];
-    const client = await Client.open(vm.address, 'booking-db', KEY);
-    if (!client) {
-      await sleep(100);
-      continue;
-    }
-    const item = items[i % items.length];
-    const id = nextId();
-    const answer = await client.query(id, `READ ${item}`);
-    if (answer.kind === 'done') {
-      counts.reads++;
-      const run = group.runs.find(
-        found => found.signature === answer.signature,
-      );
-      const log = new Set(run.log);
-      const lacking = entries.filter(entry => !log.has(entry));
-      if (lacking.length > 0) {
-        counts.stale++;
-        if (noted++ < 20) {
-          const {data} = acknowledged.get(item);
-          record.note(
-            `${id} READ ${item} through ${vm.name} ran at ${run.member}: got ` +
-              `${answer.rows.join(' ')}, acknowledged ${data}; its log lacks ` +
-              `${lacking.length} acknowledged commits`,
-          );
-        }
-      }
-    } else if (answer.kind === 'error') counts.refused++;
-    else counts.none++;
-    if (i % 5 === 0) {
-      const written = await client.query(nextId(), `WRITE x${i} w${i}`);
-      if (written.kind === 'done') writes.done++;
-      else if (written.kind === 'error') writes.refused++;
-      else writes.other++;
-    }
-    client.close();
-    await sleep(60);
+  // What was acknowledged before a promotion and isn't in its log.
+  const entries = new Map(group.commits.map(entry => [entry.id, entry]));
+  const done = writes.filter(({answer}) => answer.kind === 'done');
+  let lost = 0;
+  for (const {id, answer, at, vm} of writes) {
+    const entry = entries.get(id);
+    const promotion = group.promotions.find(
+      item => at < item.at && !item.log.has(entry),
+    );
+    const isLost = answer.kind === 'done' && promotion !== undefined;
+    if (isLost) lost++;
+    const position = entry ? `${entry.term}.${entry.number}` : 'no commit';
+    const text = isLost ? `, not in the log of ${promotion.member}` : '';
+    const outcome = answer.kind === 'error' ? answer.code : answer.kind;
+    record.note(`${id} WRITE through ${vm}: ${outcome}, ${position}${text}`);
+  }
+  for (const {member, term, log} of group.promotions) {
+    record.note(`${member} led term ${term} with ${log.size} commits`);
   }
-  const others = group.members.filter(item => item !== primary);
-  for (const {id, role, log} of [primary, ...others]) {
-    record.note(`${id}: ${role}, ${log.length} commits in its log`);
+  for (const {id, log} of group.members) {
+    record.note(`${id}: ${log.length} commits in its log`);
   }
-  record.note(`orders to promote: ${platform.orders.length}`);
-  record.note(`reads ${JSON.stringify(counts)}`);
-  record.note(`writes ${JSON.stringify(writes)}`);
-  return counts.stale > 0 ? 1 : 0;
+  for (const vm of vms) {
+    record.note(`${vm.name}: ${vm.starts} starts, ${vm.ownEnds.length} ends`);
+  }
+  record.note(
+    `${writes.length} writes, ${done.length} acknowledged, ` +
+      `${group.promotions.length} promotions, ${lost} acknowledged and lost`,
+  );
+  if (done.length === 0) return 2;
+  return lost > 0 ? 1 : 0;
 });
--- a/review/lib-3/group.mjs
+++ b/review/lib-3/group.mjs
@@ -185,7 +185,15 @@
 export class Group {
   constructor(
     name,
-    {clock, slots = 2, maxConns = 26, lagMs = 20, promoteMs = 300, netMs = 1},
+    {
+      clock,
+      slots = 2,
+      maxConns = 26,
+      lagMs = 20,
+      promoteMs = 300,
+      netMs = 1,
+      syncReplicas = 0,
+    },
   ) {
     this.name = name;
     this.clock = clock;
@@ -194,6 +202,7 @@
     this.lagMs = lagMs;
     this.promoteMs = promoteMs;
     this.netMs = netMs;
+    this.syncReplicas = syncReplicas;
     this.members = [];
     this.commits = [];
     /** What members ran, in order. */
@@ -240,6 +249,16 @@
     }
   }
 
+  /** Waits until as many replicas as must have received a commit have. */
+  async received(entry, isGone) {
+    const count = () =>
+      this.members.filter(
+        item =>
+          item.id !== entry.member && item.log[entry.number - 1] === entry,
+      ).length;
+    while (count() < this.syncReplicas && !isGone()) await sleep(1);
+  }
+
   /** The promotion of a member takes effect some time after the order. */
   order(id) {
     const member = this.member(id);
@@ -261,6 +280,7 @@
       member: member.id,
       term: this.term,
       at: this.clock(),
+      log: new Set(member.log),
     });
     this.replicate();
     // The old one goes on until a second after it can reach the new one.
@@ -429,13 +449,17 @@
     const {member} = this;
     const {group} = member;
     if (!(await member.slot())) return this.ready([`ERROR BUSY ${member.id}`]);
+    const isGone = () => this.socket.destroyed || member.power === 'off';
+    let answer;
     try {
       await sleep(member.workMs);
-      if (this.socket.destroyed || member.power === 'off') return;
-      this.run(id, kind, tail, group, shape);
+      if (isGone()) return;
+      answer = this.run(id, kind, tail, group, shape);
     } finally {
       member.release();
     }
+    if (answer.entry) await group.received(answer.entry, isGone);
+    this.ready(answer.lines);
   }
 
   run(id, kind, tail, group, shape) {
@@ -444,14 +468,14 @@
       tx?.access === 'write' &&
       (member.role !== 'primary' || member.term !== tx.term);
     if (kind === 'COMMIT') {
-      if (!tx || tx.failed) return this.ready(['ERROR MALFORMED']);
+      if (!tx || tx.failed) return {lines: ['ERROR MALFORMED']};
       this.tx = undefined;
       if (tx.writes.length > 0 && isLost) {
-        return this.ready([`ERROR READONLY ${member.id}`]);
+        return {lines: [`ERROR READONLY ${member.id}`]};
       }
     } else if (isLost || (kind === 'WRITE' && member.role !== 'primary')) {
       if (tx) tx.failed = true;
-      return this.ready([`ERROR READONLY ${member.id}`]);
+      return {lines: [`ERROR READONLY ${member.id}`]};
     }
     const [item, data] = splitWord(tail);
     const run = {
@@ -479,7 +503,7 @@
     run.signature = signature;
     if (kind === 'READ') {
       const value = member.data.get(item) ?? 'none';
-      return this.ready([`DATAROW ${value}`, `COMPLETE ${signature}`]);
+      return {lines: [`DATAROW ${value}`, `COMPLETE ${signature}`]};
     }
     const write = {item, data, id};
     if (kind === 'WRITE' && tx) {
@@ -494,6 +518,6 @@
         });
       }
     }
-    this.ready([`COMPLETE ${signature}`]);
+    return {lines: [`COMPLETE ${signature}`], entry: run.entry};
   }
 }
--- a/review/lib-3/platform.mjs
+++ b/review/lib-3/platform.mjs
@@ -23,6 +23,8 @@
     this.groups = [];
     this.vms = [];
     this.orders = [];
+    /** Whether the store is up; members then keep their entries. */
+    this.store = 'up';
     this.folder = mkdtempSync(join(tmpdir(), 'review-'));
     this.version = 7;
     this.config = {
@@ -65,35 +67,46 @@
     this.config.services.push({
       name,
       maxConns: group.maxConns,
-      syncReplicas: 0,
+      syncReplicas: group.syncReplicas,
     });
     return group;
   }
 
   /** Writes a member's entry now and at each heartbeat while it runs. */
   beat(member) {
-    const write = () => {
-      if (member.power === 'on') {
+    let role = member.role;
+    let wrote = -Infinity;
+    const step = () => {
+      const now = performance.now();
+      const isDue = now - wrote >= HEARTBEAT_MS || role !== member.role;
+      const reaches = this.store === 'up' && now >= (member.backAt ?? 0);
+      if (member.power === 'on' && reaches && isDue) {
+        role = member.role;
+        wrote = now;
         this.rows.put('servers', member.id, member.entry());
-        member.beatAt = Date.now();
-      } else if (Date.now() - member.beatAt > 3 * HEARTBEAT_MS) {
+      } else if (now - wrote > 3 * HEARTBEAT_MS) {
+        // Its entry expires, also while the store is down.
         if (this.rows.get('servers', member.id)) {
           this.rows.remove('servers', member.id);
         }
       }
     };
-    write();
-    let role = member.role;
+    step();
     this.timers ??= [];
-    this.timers.push(setInterval(write, HEARTBEAT_MS));
-    // A change of the role is reported immediately.
-    this.timers.push(
-      setInterval(() => {
-        if (role === member.role) return;
-        role = member.role;
-        write();
-      }, 20),
-    );
+    this.timers.push(setInterval(step, 20));
+  }
+
+  /**
+   * Takes the store down for all, or brings it back. Members write their entries
+   * again some time after it is back, given by id.
+   */
+  setStore(state, backMs = {}) {
+    this.store = state;
+    const now = performance.now();
+    for (const {members} of this.groups) {
+      for (const item of members) item.backAt = now + (backMs[item.id] ?? 0);
+    }
+    for (const vm of this.vms) vm.store.mode = state === 'up' ? 'ok' : 'reset';
   }
 
   /** Writes the configuration as the next version. */
